--- /dev/null
+++ b/src/bin/hatchline-adapter/main.rs
@@ -0,0 +1,31 @@
+//! Hosts decision modules behind a framed binary stream on standard input and output.
+#![warn(missing_docs)]
+
+mod host;
+mod settings;
+mod wire;
+
+use std::io::{BufReader, BufWriter, Write};
+use std::process::ExitCode;
+
+fn run() -> Result<(), wire::Malformed> {
+    let mut input = BufReader::with_capacity(1 << 20, std::io::stdin().lock());
+    let mut output = BufWriter::with_capacity(1 << 20, std::io::stdout().lock());
+    let mut host = host::Host::default();
+    while let Some(batch) = wire::read_batch(&mut input)? {
+        let reply = host.play(batch)?;
+        output.write_all(&reply).and_then(|()| output.flush())?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    // A panic of the module is reported on the wire; the usual message on standard error stays.
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hatchline-adapter: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/hatchline-adapter/settings.rs
@@ -0,0 +1,153 @@
+//! The settings as they come on the wire, and their translation. Unknown keys are ignored.
+
+use hatchline::{Class, Decay, Effect, Group, ListedRate, Micros, Rules, Settings};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Env {
+    balancers: u32,
+    categories: Vec<Category>,
+    #[serde(default)]
+    contract: Contract,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    limits: Limits,
+    #[serde(default)]
+    report: Report,
+    #[serde(default)]
+    tick: Micros,
+    #[serde(default)]
+    weight_source: String,
+}
+
+#[derive(Deserialize)]
+struct Category {
+    aim: Micros,
+    deadline: Micros,
+    #[serde(default)]
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    one_at_a_time: bool,
+    #[serde(default)]
+    streaming: bool,
+    #[serde(default)]
+    window: Micros,
+    #[serde(default)]
+    worth: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Contract {
+    ask_within: Micros,
+    cold_from: f64,
+    order_pause: Micros,
+    ramp_time: Micros,
+    stop_sending_within: Micros,
+    tip_after: Micros,
+    tip_multiple: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FamilyInfo {
+    batch_by_kind: Vec<u32>,
+    decay: String,
+    own_limits: Vec<bool>,
+    refused_price: f64,
+    slots: u32,
+    zone_fee: Vec<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Limits {
+    conn_idle: Micros,
+    dial_timeout: Micros,
+    max_open: u32,
+    max_retry_after: Micros,
+    may_cancel: bool,
+    may_duplicate: bool,
+    may_probe: bool,
+    retry_after: bool,
+    streams_per_conn: u32,
+    try_limit: u32,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+/// The settings of an instance, and where the two values of its limit report stand.
+pub struct Parsed {
+    pub settings: Settings,
+    pub share_left_at: Option<usize>,
+    pub rate_at: Option<usize>,
+}
+
+/// Parses the settings text.
+pub fn parse(text: &[u8]) -> Result<Parsed, serde_json::Error> {
+    let env: Env = serde_json::from_slice(text)?;
+    let place = |name: &str| env.report.fields.iter().position(|f| f == name);
+    let (share_left_at, rate_at) = (place("x0"), place("x1"));
+    let classes = env.categories.iter().map(|c| Class {
+        aim: c.aim,
+        deadline: c.deadline,
+        worth: c.worth,
+        late_value: c.late_value,
+        effect: match c.effect.as_str() {
+            "repeatable" => Effect::Repeatable,
+            "by_key" => Effect::Keyed,
+            _ => Effect::Unsafe,
+        },
+        group: if c.group == "all" { Group::All } else { Group::Zone },
+        window: c.window,
+        in_order: c.one_at_a_time,
+        streaming: c.streaming,
+    });
+    let settings = Settings {
+        senders: env.balancers,
+        slots: env.family_info.slots,
+        max_held: env.limits.max_open,
+        max_attempts: env.limits.try_limit,
+        may_cancel: env.limits.may_cancel,
+        may_probe: env.limits.may_probe,
+        may_duplicate: env.limits.may_duplicate,
+        may_advise_wait: env.limits.retry_after,
+        max_advised_wait: env.limits.max_retry_after,
+        subscribe: env.discovery == "on_request",
+        classes: classes.collect(),
+        decay: if env.family_info.decay == "halving" { Decay::Halving } else { Decay::Linear },
+        rules: Rules {
+            drain_grace: env.contract.stop_sending_within,
+            cold_from: env.contract.cold_from,
+            ramp_time: env.contract.ramp_time,
+            tip_multiple: env.contract.tip_multiple,
+            tip_after: env.contract.tip_after,
+            order_pause: env.contract.order_pause,
+            ask_within: env.contract.ask_within,
+        },
+        batch: env.family_info.batch_by_kind,
+        routes_apart: env.family_info.own_limits,
+        zone_fee: env.family_info.zone_fee,
+        refused_price: env.family_info.refused_price,
+        listed_rate: match env.weight_source.as_str() {
+            "nominal" => ListedRate::Exact,
+            "rough" => ListedRate::Rough,
+            _ => ListedRate::Unknown,
+        },
+        connection_idle: env.limits.conn_idle,
+        connect_timeout: env.limits.dial_timeout,
+        streams_per_connection: env.limits.streams_per_conn,
+        tick: env.tick,
+    };
+    Ok(Parsed { settings, share_left_at, rate_at })
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,898 @@
+//! All decisions of the delivery service. Settings, events and actions: `src/interface.rs`.
+//! Per destination: a bucketed histogram of answer times and a count of attempts without an answer give
+//! the time-out and resend point τ of least expected completion time (see [`AnswerTimes`]). Around that
+//! stand a window of calls in flight, a gate for destinations that look out, and pacing under limits.
+
+use crate::interface::*;
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Buckets of answer times: τ moves in steps of a few percent of the longest answer.
+const BUCKETS: usize = 32;
+/// Answers before τ is trusted; planned resends in a row without an answer that mean τ is too low.
+const WARM_UP: u32 = 20;
+const TAU_RUN: u32 = 3;
+/// τ is stretched by up to this part at random, so that senders with one τ do not resend together.
+const TAU_JITTER: f64 = 0.25;
+/// Resends that each answer pays for, and how many may be saved up.
+const RESEND_SHARE: f64 = 0.2;
+const RESEND_SAVED: f64 = 5.0;
+/// Part of the slots that calls to one destination may take; half while it is failing.
+const DESTINATION_SHARE: f64 = 0.75;
+/// Span of the upkeep timer, and microseconds in a second.
+const UPKEEP: Micros = 100_000;
+const SECOND: f64 = 1e6;
+/// Weight of one outcome in the smoothed share of failures; above the bounds a destination is lossy
+/// (unsafe messages wait) or out (single trials): three failures in a row, or more than half.
+const FAIL_WEIGHT: f64 = 0.22;
+const LOSSY: f64 = 0.2;
+const MOSTLY_FAILING: f64 = 0.5;
+/// To what a refusal cuts the pace; parts by which a served call, at most, and a span of upkeep raise it.
+const PACE_DOWN: f64 = 0.7;
+const PACE_UP: f64 = 0.08;
+const PACE_RISE: f64 = 0.005;
+/// Weight that the rate of served calls keeps over a span of upkeep.
+const RATE_KEEP: f64 = 0.95;
+/// Part of the room for held messages that is kept free.
+const KEEP_FREE: f64 = 0.05;
+/// Unanswered call time, in mean answer times, that makes silence unlikely to be chance.
+const SILENCE_MEANS: f64 = 12.0;
+/// Calls of all senders in the tip time which do no harm; least capacity of a destination in calls a second;
+/// spans of a trouble so far between two trials.
+const SLACK: f64 = 3.0;
+const LEAST_TOGETHER: f64 = 2.5;
+const TROUBLE_SPANS: f64 = 3.0;
+/// Factors on the learned pause when a retry after a refusal is served, and when it is refused again.
+const SPREAD_DOWN: f64 = 0.8;
+const SPREAD_UP: f64 = 1.5;
+/// Part of the multiple that would push a cold destination over which all senders together may use.
+const RAMP_CAUTION: f64 = 0.6;
+
+/// Answer times of one destination and the choice of τ.
+#[rustfmt::skip] // fields stand by topic
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerTimes {
+    width: f64, count: [f64; BUCKETS], sum: [f64; BUCKETS],
+    unanswered: f64, answers: u32,
+    tau: f64, run: u32,
+}
+
+impl AnswerTimes {
+    fn new() -> Self {
+        AnswerTimes { width: 1000.0, ..AnswerTimes::default() }
+    }
+
+    /// Answers later than τ count too: the buckets reach to the longest. Double width merges neighbours.
+    fn answered(&mut self, took: f64) {
+        while took >= self.width * BUCKETS as f64 {
+            for i in 0..BUCKETS {
+                let pair = |a: &[f64; BUCKETS]| a.iter().skip(2 * i).take(2).sum();
+                (self.count[i], self.sum[i]) = (pair(&self.count), pair(&self.sum));
+            }
+            self.width *= 2.0;
+        }
+        let i = (took / self.width) as usize;
+        self.count[i] += 1.0;
+        self.sum[i] += took;
+        self.answers = self.answers.saturating_add(1);
+        self.run = 0;
+    }
+
+    /// Ages the counts. When the upper half has emptied, buckets go to half the width, where their means lie.
+    fn age(&mut self, keep: f64) {
+        for v in self.count.iter_mut().chain(self.sum.iter_mut()) {
+            *v *= keep;
+        }
+        self.unanswered *= keep;
+        let seen: f64 = self.count.iter().sum();
+        let upper: f64 = self.count[BUCKETS / 2..].iter().sum();
+        let half = (BUCKETS / 2) as f64;
+        if seen > 1.0 && upper < 0.02 * seen && self.width > 1.0 && self.tau < half * self.width {
+            let old = (self.count, self.sum);
+            (self.count, self.sum, self.width) = ([0.0; BUCKETS], [0.0; BUCKETS], self.width / 2.0);
+            for (n, s) in old.0.into_iter().zip(old.1).filter(|(n, _)| *n > 0.0) {
+                let i = ((s / n / self.width) as usize).min(BUCKETS - 1);
+                self.count[i] += n;
+                self.sum[i] += s;
+            }
+        }
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum.iter().sum::<f64>() / self.count.iter().sum::<f64>().max(1e-9)
+    }
+
+    /// Mean of the first filled bucket: the least time an answer takes.
+    fn least(&self) -> f64 {
+        let first = (0..BUCKETS).find(|i| self.count[*i] > 0.05);
+        first.map_or(0.0, |i| self.sum[i] / self.count[i])
+    }
+
+    /// Upper edge of the last bucket that still weighs.
+    fn longest(&self) -> f64 {
+        let last = (0..BUCKETS).rev().find(|i| self.count[*i] > 0.05);
+        last.map_or(0.0, |i| (i + 1) as f64 * self.width)
+    }
+
+    /// Moves τ to the candidate of least Ê, then up while the paper's condition (6) holds; gives its Ê.
+    /// The mean of the answers by τ is M/p already: divided by p again it would miss the paper's tables.
+    fn retune(&mut self, c: f64) -> Option<f64> {
+        let total = self.count.iter().sum::<f64>() + self.unanswered;
+        let (mut n, mut s) = (0.0, 0.0);
+        let mut expected = [f64::INFINITY; BUCKETS];
+        let mut share = [0.0; BUCKETS];
+        for i in 0..BUCKETS {
+            n += self.count[i];
+            s += self.sum[i];
+            if n > 0.05 {
+                let p = n / total;
+                share[i] = p;
+                expected[i] = s / n + (1.0 - p) / p * ((i + 1) as f64 * self.width + c);
+            }
+        }
+        let finite = (0..BUCKETS).filter(|i| expected[*i].is_finite());
+        let mut j = finite.min_by(|a, b| expected[*a].total_cmp(&expected[*b]))?;
+        let density = |j: usize| self.count[j] / (total * self.width);
+        let grows = |j: usize| self.count[j] > 0.05 && (1.0 - share[j]) / density(j) - c < expected[j];
+        while j + 1 < BUCKETS && grows(j) {
+            j += 1;
+        }
+        let raised = if self.run >= TAU_RUN { self.tau } else { 0.0 };
+        self.tau = ((j + 1) as f64 * self.width).max(raised);
+        Some(expected[j])
+    }
+
+    /// Guards against a slow spell past τ, where (6) sees no density: a run of planned resends unanswered
+    /// doubles τ; least Ê brings it down. Harms where most calls are dropped: resends come late.
+    fn unanswered(&mut self, planned: bool) {
+        self.unanswered += 1.0;
+        self.run += u32::from(planned);
+        if planned && self.run.is_multiple_of(TAU_RUN) {
+            self.tau *= 2.0;
+        }
+    }
+}
+
+/// The decisions of one forwarder.
+#[rustfmt::skip] // fields stand by topic
+#[derive(Debug, Default)]
+pub struct Brain {
+    s: Settings, now: Micros, out: Vec<Action>, seed: u64,
+    messages: BTreeMap<MessageId, Message>, turns: BTreeMap<u64, Turns>,
+    destinations: BTreeMap<DestinationId, Destination>, lanes: Vec<Lane>, targets: BTreeMap<TargetId, Target>,
+    /// When to look at a message again: its time is up, or its key has rested.
+    agenda: BTreeSet<(Micros, MessageId)>,
+    upkeep_at: Micros, span: f64, spread: f64, wake_at: Micros, armed: Micros,
+    calls_out: u32, next_call: u64, blocked: bool, list_version: u32, logged: u32,
+}
+
+impl Brain {
+    /// A sender that has just come up.
+    pub fn new(now: Micros, seed: u64, settings: Settings) -> Self {
+        let seed = seed ^ 0x9e37_79b9_7f4a_7c15;
+        let (upkeep_at, armed) = (now + UPKEEP, Micros::MAX);
+        let fresh = Brain { s: settings, seed, now, upkeep_at, armed, ..Brain::default() };
+        Brain { spread: fresh.even().min(fresh.least_aim()), ..fresh }
+    }
+
+    /// Takes in one thing that happened. Sends are chosen in [`Brain::decide`].
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::List { kind, version, endpoints } => self.list(kind, version, endpoints),
+            Event::Request { id, class, destination, order_key, expires } => {
+                let class = class as usize;
+                self.request(id, Message { class, destination, order_key, expires, ..Message::default() })
+            }
+            Event::Started { id, .. } | Event::Lapsed { id } => self.finish(id),
+            Event::Outcome { id, attempt, outcome, took, ended, wait, report, .. } => {
+                let sent = now.saturating_sub(took);
+                let end = End { outcome, sent, wait, report, planned: false };
+                self.outcome(id, attempt as usize, end, ended)
+            }
+            Event::Timer { .. } if self.armed <= now => self.armed = Micros::MAX,
+            Event::Timer { .. } | Event::Peer { .. } | Event::Probed { .. } => {}
+        }
+        out.append(&mut self.out);
+    }
+
+    fn random(&mut self) -> f64 {
+        self.seed ^= self.seed << 13;
+        self.seed ^= self.seed >> 7;
+        self.seed ^= self.seed << 17;
+        (self.seed >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn log(&mut self, text: String) {
+        self.logged += 1;
+        self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
+    }
+
+    fn least_aim(&self) -> f64 {
+        self.s.classes.iter().map(|c| c.aim).min().unwrap_or(1_000_000) as f64
+    }
+
+    fn longest_deadline(&self) -> f64 {
+        self.s.classes.iter().map(|c| c.deadline).max().unwrap_or(UPKEEP).max(1) as f64
+    }
+
+    /// Messages a second that come to this sender for a lane.
+    fn own(&self, lane: usize) -> f64 {
+        self.lanes[lane].heat / self.span.max(1.0)
+    }
+
+    /// Span between attempts of one sender at which all together bring a cold destination no harm.
+    fn even(&self) -> f64 {
+        f64::from(self.s.senders.max(1)) * self.s.rules.tip_after as f64 / SLACK
+    }
+
+    /// Least span between attempts at a lane in trouble. Guards what is out, shut or cold against many
+    /// senders that each try seldom: each keeps to its part of what would push it over, by its own traffic,
+    /// evenly, or by the trouble's span, in which each message brought one sender at most. Harms if few came.
+    fn gap(&self, lane: usize, at: Micros) -> f64 {
+        let r = &self.s.rules;
+        let part = self.own(lane) * r.cold_from * r.tip_multiple.max(1.0) * RAMP_CAUTION / SECOND;
+        let since = at - self.lanes[lane].trouble.unwrap_or(at).min(at);
+        (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
+    }
+
+    /// A full list removes what it lacks; a cached one is only a start.
+    fn list(&mut self, kind: ListKind, version: u32, lines: Vec<Endpoint>) {
+        if (kind == ListKind::Cached && self.s.subscribe) || kind == ListKind::Failed {
+            self.out.push(Action::Subscribe { on: true });
+        }
+        if version < self.list_version || kind == ListKind::Failed {
+            return;
+        }
+        self.list_version = version;
+        if kind == ListKind::Full {
+            let named: BTreeSet<TargetId> = lines.iter().map(|e| e.target).collect();
+            for (_, t) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                t.state = EndpointState::Gone;
+            }
+        }
+        let aim = self.least_aim() / SECOND;
+        for e in lines {
+            let kind = e.kind as usize;
+            let apart = self.s.routes_apart.get(kind).copied().unwrap_or(false);
+            let d = self.destinations.entry(e.destination).or_default();
+            let known = self.targets.get(&e.target).map(|t| t.lane);
+            let lane = known.or(if apart { None } else { d.lanes.first().copied() }).unwrap_or_else(|| {
+                let times = AnswerTimes::new();
+                let fee = self.s.zone_fee.get(e.zone as usize).copied().filter(|_| apart).unwrap_or(0.0);
+                let fresh = Lane { kind, fee, times, window: 1.0, budget: RESEND_SAVED, ..Lane::default() };
+                self.lanes.push(Lane { tokens: 1.0, last_ok: self.now, ..fresh });
+                d.lanes.push(self.lanes.len() - 1);
+                self.lanes.len() - 1
+            });
+            let l = &mut self.lanes[lane];
+            if self.s.listed_rate != ListedRate::Unknown && e.rate > 0.0 {
+                l.limit_is(e.rate, self.s.senders, aim);
+            }
+            l.targets.extend(known.is_none().then_some(e.target));
+            let fresh = Target { lane, zone: e.zone, ..Target::default() };
+            self.targets.entry(e.target).or_insert(fresh).state = e.state;
+        }
+    }
+
+    fn request(&mut self, id: MessageId, mut m: Message) {
+        let expires = m.expires;
+        if self.messages.contains_key(&id) {
+            return;
+        }
+        let Some(c) = self.s.classes.get(m.class).filter(|_| expires > self.now) else {
+            return self.out.push(Action::Refuse { id, retry_after: 0 });
+        };
+        m.born = expires.saturating_sub(c.deadline);
+        m.order_key *= u64::from(c.in_order);
+        let order_key = m.order_key;
+        self.messages.insert(id, m);
+        self.agenda.insert((self.give_up_at(expires), id));
+        if order_key != 0 {
+            self.turns.entry(order_key).or_default().0.push_back(id);
+        }
+        if let Some(d) = self.destinations.get(&self.messages[&id].destination) {
+            d.lanes.iter().for_each(|l| self.lanes[*l].heat += 1.0 / d.lanes.len() as f64);
+        }
+        self.enqueue(id);
+        self.make_room();
+    }
+
+    /// Guards the room against a backlog for one destination, whatever holds it up, that would turn all else
+    /// away: of the longest queue the message of least worth goes. Harms a backlog about to move.
+    fn make_room(&mut self) {
+        let room = (f64::from(self.s.max_held) * KEEP_FREE).ceil() as usize + 1;
+        if self.messages.len() + room <= self.s.max_held as usize {
+            return;
+        }
+        let longest =
+            self.destinations.values().max_by_key(|d| d.ready.values().map(BTreeSet::len).sum::<usize>());
+        let oldest = longest.into_iter().flat_map(|d| &d.ready).filter_map(|((c, _), set)| {
+            let (born, id) = set.first()?;
+            Some((self.value(*c, self.now.saturating_sub(*born) as f64), *id))
+        });
+        if let Some((_, id)) = oldest.min_by(|a, b| a.0.total_cmp(&b.0)) {
+            self.give_up(id);
+        }
+    }
+
+    // A little before its time, so that the answer counts.
+    fn give_up_at(&self, expires: Micros) -> Micros {
+        expires.saturating_sub(2 * self.s.tick)
+    }
+
+    /// The one place that says what may follow for a message, from its class and its attempts' outcomes:
+    /// whether it may be sent, the zone (plus one) that binds it, and whether it may be refused.
+    fn allowed(&self, m: &Message) -> (bool, u32, bool) {
+        let c = &self.s.classes[m.class];
+        let out = m.attempts.iter().any(|a| a.done.is_none());
+        let tries_left = m.attempts.len() < self.s.max_attempts.max(1) as usize;
+        let open = !m.over && !out && tries_left && m.expires > self.now;
+        let Some((at, zone)) = m.ran else { return (open, 0, !m.over) };
+        match c.effect {
+            Effect::Repeatable => (open, 0, !m.over),
+            Effect::Keyed => {
+                let inside = self.now + self.s.tick < at + c.window;
+                let all = c.group == Group::All;
+                (open && inside, if all { 0 } else { zone + 1 }, !m.over && all)
+            }
+            Effect::Unsafe => (false, 0, false),
+        }
+    }
+
+    /// Puts a message among those ready to go, if it may be sent and has the turn of its key.
+    fn enqueue(&mut self, id: MessageId) {
+        let Some(m) = self.messages.get(&id).filter(|m| m.queue.is_none()) else { return };
+        let (true, zone, _) = self.allowed(m) else { return };
+        match self.turns.get(&m.order_key) {
+            Some((line, _)) if line.front() != Some(&id) => return,
+            Some((_, rest)) if *rest > self.now && m.attempts.is_empty() => {
+                self.agenda.insert((*rest, id));
+                return;
+            }
+            _ => {}
+        }
+        let (queue, born) = ((m.class, zone), m.born);
+        let d = self.destinations.entry(m.destination).or_default();
+        d.ready.entry(queue).or_default().insert((born, id));
+        self.messages.entry(id).and_modify(|m| m.queue = Some(queue));
+    }
+
+    fn dequeue(&mut self, id: MessageId) {
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        let Some(queue) = m.queue.take() else { return };
+        let Some(d) = self.destinations.get_mut(&m.destination) else { return };
+        if let Some(set) = d.ready.get_mut(&queue) {
+            set.remove(&(m.born, id));
+        }
+        d.ready.retain(|_, set| !set.is_empty());
+    }
+
+    /// Ends a message that is not (or no longer) out: refused where that is true to the client, else failed.
+    fn give_up(&mut self, id: MessageId) {
+        let Some(m) = self.messages.get(&id).filter(|m| !m.over) else { return };
+        let refuse = self.allowed(m).2;
+        self.out.push(if refuse { Action::Refuse { id, retry_after: 0 } } else { Action::Fail { id } });
+        self.finish(id);
+    }
+
+    /// A message is over; its attempts may still be out, and its key waits for them.
+    fn finish(&mut self, id: MessageId) {
+        self.dequeue(id);
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        m.over = true;
+        let (key, expires) = (m.order_key, m.expires);
+        if m.attempts.iter().any(|a| a.done.is_none()) {
+            return;
+        }
+        self.messages.remove(&id);
+        self.agenda.remove(&(self.give_up_at(expires), id));
+        if let Some(turns) = self.turns.get_mut(&key) {
+            turns.0.retain(|x| *x != id);
+            if let Some(next) = turns.0.front().copied() {
+                self.enqueue(next);
+            }
+        }
+    }
+
+    fn outcome(&mut self, id: MessageId, attempt: usize, mut end: End, ended: bool) {
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        let Some(a) = m.attempts.get_mut(attempt).filter(|a| a.done.is_none()) else { return };
+        let outcome = end.outcome;
+        a.done = Some(outcome);
+        let (target, call) = (a.target, a.call);
+        end.planned = a.planned && outcome == Outcome::TimedOut;
+        let never =
+            |a: &Attempt| matches!(a.done, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent));
+        if m.attempts.iter().all(never) {
+            m.ran = None;
+        }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            if let Some(turns) = self.turns.get_mut(&m.order_key) {
+                turns.1 = turns.1.max(self.now + self.s.rules.order_pause);
+            }
+        }
+        if let Some(lane) = self.targets.get(&target).map(|t| t.lane) {
+            let l = &mut self.lanes[lane];
+            if end.wait > 0 {
+                // Waits bind the lane, whatever comes later; none is shortened.
+                l.wait_until = l.wait_until.max(self.now + end.wait);
+            }
+            // The messages of a call share its fate: it is judged, and its slot free, with the last of them.
+            let done = l.calls.get_mut(&call).is_some_and(|c| {
+                c.messages.retain(|m| m.0 != id);
+                end.sent = c.sent;
+                c.messages.is_empty()
+            });
+            if done {
+                l.calls.remove(&call);
+                self.calls_out -= 1;
+                if !matches!(outcome, Outcome::NotSent | Outcome::Cancelled) {
+                    self.judge(lane, target, &end);
+                }
+            }
+        }
+        let Some(m) = self.messages.get(&id) else { return };
+        if ended || m.over || outcome == Outcome::Ok {
+            self.finish(id);
+        } else if m.attempts.iter().all(|a| a.done.is_some()) {
+            if self.allowed(m).0 && self.now < self.give_up_at(m.expires) {
+                self.enqueue(id);
+            } else {
+                self.give_up(id);
+            }
+        }
+    }
+
+    /// Draws the conclusions of one call's end for its lane.
+    fn judge(&mut self, lane: usize, target: TargetId, end: &End) {
+        let End { outcome, sent, report, planned, .. } = *end;
+        let jitter = 1.0 + self.random();
+        let least_aim = self.least_aim();
+        let least_pace = f64::from(self.s.max_attempts) * SECOND / self.longest_deadline();
+        let (own, gap) = (self.own(lane), self.gap(lane, self.now.max(self.lanes[lane].wait_until)));
+        if self.lanes[lane].full_run > 0 && matches!(outcome, Outcome::Ok | Outcome::Full) {
+            self.spread *= if outcome == Outcome::Ok { SPREAD_DOWN } else { SPREAD_UP };
+            self.spread = self.spread.min(self.even()).min(self.longest_deadline()).max(UPKEEP as f64);
+        }
+        let (spread, even, half_aim) = (self.spread, self.even(), least_aim / 2.0);
+        let l = &mut self.lanes[lane];
+        if let Some(r) = report.filter(|r| r.rate > 0.0) {
+            l.limit_is(r.rate, self.s.senders, least_aim / SECOND);
+        }
+        let was = l.gate;
+        match outcome {
+            Outcome::Ok => {
+                l.times.answered((self.now - sent) as f64);
+                let part = if l.failing > LOSSY { 0.5 } else { DESTINATION_SHARE };
+                l.window = (l.window + 1.0).min((f64::from(self.s.slots) * part).floor().max(1.0));
+                l.budget = (l.budget + RESEND_SHARE).min(RESEND_SAVED);
+                l.rate += (1.0 - RATE_KEEP) * SECOND / UPKEEP as f64;
+                let left = report.filter(|r| r.rate > 0.0).map_or(0.3, |r| r.share_left);
+                l.pace *= 1.0 + PACE_UP * (2.0 * left).min(1.0);
+                if l.limit > 0.0 {
+                    l.pace = l.pace.min(l.limit);
+                } else if l.pace > 4.0 * own.max(1.0) {
+                    l.pace = 0.0;
+                }
+                l.failing *= 1.0 - FAIL_WEIGHT;
+                (l.full_run, l.last_ok) = (0, self.now);
+                let trouble = if l.failing > MOSTLY_FAILING { l.trouble } else { l.trouble.take() };
+                let short = trouble.is_some_and(|t| self.now < t + 2 * self.s.rules.tip_after);
+                l.gate = match l.gate {
+                    Gate::Out { .. } if l.failing > MOSTLY_FAILING => {
+                        Gate::Out { next: self.now, backoff: l.times.mean() }
+                    }
+                    Gate::Out { .. } if short => Gate::Open,
+                    Gate::Out { .. } => Gate::Ramp { since: self.now },
+                    other => other,
+                };
+            }
+            Outcome::Full => {
+                l.full_run += 1;
+                l.trouble.get_or_insert(self.now);
+                if l.halve(sent, self.now) {
+                    // Never under what is being served: that much there is room for.
+                    let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { SECOND / half_aim };
+                    l.pace = down.max(l.rate).max(least_pace);
+                }
+                let run = f64::from(l.full_run.min(6));
+                let pause = (l.times.mean() * jitter * run).min(half_aim);
+                let more = (jitter - 1.0) * gap.max(spread * run).min(even) - half_aim;
+                l.wait_until = l.wait_until.max(self.now + pause as Micros) + more.max(0.0) as Micros;
+            }
+            _ => {
+                if l.gate == Gate::Open && (outcome != Outcome::Error) {
+                    l.times.unanswered(planned);
+                }
+                if planned {
+                    l.budget -= 1.0;
+                } else {
+                    l.failing += (1.0 - l.failing) * FAIL_WEIGHT;
+                    l.trouble.get_or_insert(sent);
+                    let _ = outcome != Outcome::Error && l.halve(sent, self.now);
+                }
+            }
+        }
+        if !matches!(outcome, Outcome::Ok | Outcome::Full) && !planned {
+            l.may_have_run = outcome != Outcome::ConnectFailed;
+        }
+        match l.gate {
+            Gate::Out { .. } if outcome == Outcome::Ok => {}
+            Gate::Out { backoff, .. } => {
+                l.gate = Gate::Out { next: self.now + (backoff.max(gap) * jitter * 0.75) as Micros, backoff };
+            }
+            _ if l.failing > MOSTLY_FAILING || end.wait > self.s.rules.tip_after => self.shut(lane),
+            _ => {}
+        }
+        // Idle connections fill the table of an endpoint that takes few, or are dropped unseen: closed after
+        // use where one was denied or this sender comes seldom. Costs a handshake if the next call was near.
+        let l = &self.lanes[lane];
+        let seldom = (l.heat - 1.0) * self.s.connection_idle as f64 / SECOND <= self.span;
+        if let Some(t) = self.targets.get_mut(&target) {
+            // One endpoint of several may be out alone: it rests while the others serve.
+            let fails = outcome != Outcome::Ok && outcome != Outcome::Full && !planned;
+            t.avoid_until = if fails { self.now + least_aim as Micros } else { 0 };
+            t.denied |= outcome == Outcome::ConnectFailed;
+            let last = outcome != Outcome::ConnectFailed && !l.calls.values().any(|c| c.target == target);
+            let close = last && (t.denied || seldom && outcome == Outcome::Ok);
+            self.out.extend(close.then_some(Action::CloseIdle { target }));
+        }
+        let ramps = matches!(self.lanes[lane].gate, Gate::Ramp { .. });
+        (was != self.lanes[lane].gate && ramps)
+            .then(|| self.log(format!("destination of {target} answers again: slow start")));
+    }
+
+    /// A destination looks out: nothing but single trials until one is answered.
+    fn shut(&mut self, lane: usize) {
+        let least_aim = self.least_aim();
+        let start = self.now.max(self.lanes[lane].wait_until);
+        let (jitter, gap) = (0.5 + self.random(), self.gap(lane, start));
+        let l = &mut self.lanes[lane];
+        let backoff = (2.0 * l.times.mean()).clamp(least_aim / 10.0, least_aim / 4.0);
+        l.gate = Gate::Out { next: start + (backoff.max(gap) * jitter) as Micros, backoff };
+        (l.trouble, l.window) = (l.trouble.or(Some(self.now)), 1.0);
+        let name = l.targets.first().copied().unwrap_or(0);
+        self.log(format!("destination of {name} looks out: single trials"));
+    }
+
+    /// Calls are out far past the usual time and none has been answered since. The next answer opens again.
+    fn silent(&self, lane: usize) -> Option<Micros> {
+        let l = &self.lanes[lane];
+        let (_, oldest) = l.calls.iter().find(|(_, c)| c.sent >= l.last_ok && !c.trial)?;
+        let age = (self.now - oldest.sent) as f64;
+        let mean = l.times.mean();
+        if age > self.patience(l) {
+            return Some(oldest.sent);
+        }
+        let calls = l.calls.values().filter(|c| c.sent >= l.last_ok);
+        let waited: f64 = calls.map(|c| (self.now - c.sent) as f64).sum();
+        let unlikely = (l.times.tau > 0.0) && waited > SILENCE_MEANS * mean && age > 3.0 * mean;
+        unlikely.then_some(oldest.sent)
+    }
+
+    /// Age at which a call is past all that is usual; longer where little has been answered yet.
+    fn patience(&self, l: &Lane) -> f64 {
+        let (t, long) = (&l.times, l.times.longest());
+        if t.tau > 0.0 {
+            (1.25 * long).max(4.0 * t.mean())
+        } else {
+            (3.0 * long).max(self.least_aim())
+        }
+    }
+
+    /// Whether a lane takes a call now, and whether as a trial; if not, when to look again.
+    fn can_call(&mut self, lane: usize, cap: u32) -> Result<bool, Micros> {
+        let own = self.own(lane);
+        let r = &self.s.rules;
+        let l = &mut self.lanes[lane];
+        let (mut rate, mut depth) = (l.pace, (l.pace / 2.0).max(1.0));
+        let start = if let Gate::Out { next, .. } = l.gate { next } else { 0 }.max(l.wait_until);
+        if start > self.now {
+            return Err(start);
+        }
+        if let Gate::Ramp { since } = l.gate {
+            // This sender's part of a cautious share of what would push it over, rising over the ramp. Does
+            // harm where the destination was not cold.
+            let part = ((self.now - since) as f64 / r.ramp_time.max(1) as f64).min(1.0);
+            let warm = r.cold_from + (1.0 - r.cold_from) * part;
+            let capacity = own.max(l.limit.max(LEAST_TOGETHER) / f64::from(self.s.senders.max(1)));
+            (rate, depth) = (capacity * warm * r.tip_multiple.max(1.0) * RAMP_CAUTION, 1.0);
+        }
+        let refill = if rate > 0.0 { rate * (self.now - l.filled) as f64 / SECOND } else { f64::MAX };
+        l.tokens = (l.tokens + refill).min(depth);
+        l.filled = self.now;
+        let lack = (1.0 - l.tokens) / rate.max(1e-9) * SECOND;
+        match l.gate {
+            Gate::Out { .. } => Ok(true),
+            _ if rate > 0.0 && l.tokens < 1.0 => Err(self.now + lack as Micros + 1),
+            _ if (l.calls.len() as u32) < (l.window as u32).min(cap).max(1) => Ok(false),
+            _ => Err(Micros::MAX),
+        }
+    }
+
+    fn value(&self, class: usize, age: f64) -> f64 {
+        let c = &self.s.classes[class];
+        let (aim, deadline) = (c.aim as f64, c.deadline as f64);
+        let share = match self.s.decay {
+            _ if age <= aim => 1.0,
+            _ if age > deadline => 0.0,
+            Decay::Linear => 1.0 - (1.0 - c.late_value) * (age - aim) / (deadline - aim).max(1.0),
+            Decay::Halving => (0.5f64).powf((age - aim) / aim.max(1.0)).max(c.late_value),
+        };
+        c.worth * share
+    }
+
+    /// The most urgent of a queue's oldest and the oldest whose worth still falls: by what an aim more loses.
+    fn candidate(&self, class: usize, set: &BTreeSet<(Micros, MessageId)>) -> Option<(f64, MessageId)> {
+        let c = &self.s.classes[class];
+        let floor = match self.s.decay {
+            Decay::Linear => c.deadline,
+            Decay::Halving => c.aim + (c.aim as f64 * -c.late_value.max(0.01).log2()) as Micros,
+        };
+        let falling = set.range((self.now.saturating_sub(floor), 0)..).next();
+        let both = set.first().into_iter().chain(falling);
+        let urgency = |born: Micros| {
+            let (age, aim) = (self.now.saturating_sub(born) as f64, c.aim as f64);
+            self.value(class, age) - self.value(class, age + aim) + 1e-6 * age / aim.max(1.0)
+        };
+        both.map(|(born, id)| (urgency(*born), *id)).max_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// The best endpoint of a lane: not one that failed, few calls in flight, used lately.
+    fn endpoint(&self, lane: usize, zone: Option<u32>) -> Option<TargetId> {
+        let l = &self.lanes[lane];
+        let all = l.targets.iter().map(|id| (id, &self.targets[id]));
+        let usable = all.filter(|(_, t)| t.state == EndpointState::Ready && zone.is_none_or(|z| z == t.zone));
+        let patience = self.patience(l);
+        let best = usable.min_by_key(|(id, t)| {
+            // An endpoint that sits on a call past all that is usual is silent, though the others answer.
+            let stuck = |c: &Call| c.target == **id && (self.now - c.sent) as f64 > patience;
+            let avoid = t.avoid_until > self.now || l.calls.values().any(stuck);
+            // Among the idlest, the one used last: its connections are the likeliest to be open.
+            let calls = l.calls.values().filter(|c| c.target == **id).count();
+            (avoid, calls, self.now - t.last_used.min(self.now))
+        });
+        best.map(|(id, _)| *id)
+    }
+
+    /// The best send for one destination now: urgency, message, lane, endpoint, trial.
+    fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
+        let d = self.destinations.get(&dest)?;
+        let cap = ((f64::from(self.s.slots) * DESTINATION_SHARE) as u32).max(1);
+        let calls: usize = d.lanes.iter().map(|l| self.lanes[*l].calls.len()).sum();
+        if calls as u32 >= cap || d.ready.is_empty() {
+            return None;
+        }
+        let mut open = Vec::new();
+        for lane in d.lanes.clone() {
+            match self.can_call(lane, cap) {
+                Ok(trial) => open.push((lane, trial)),
+                Err(at) => self.wake_at = self.wake_at.min(at),
+            }
+        }
+        let d = self.destinations.get(&dest)?;
+        let fee_of = |lane: usize| self.lanes[lane].fee;
+        let usable = |l: &&usize| self.lanes[**l].gate == Gate::Open && self.endpoint(**l, None).is_some();
+        let healthy = d.lanes.iter().filter(usable);
+        let least_fee = healthy.map(|l| fee_of(*l)).fold(f64::INFINITY, f64::min);
+        let worth = self.s.classes.iter().map(|c| c.worth).sum::<f64>() / self.s.classes.len() as f64;
+        let mut best: Option<Pick> = None;
+        for ((class, bound), set) in &d.ready {
+            let Some((urgency, id)) = self.candidate(*class, set) else { continue };
+            let m = &self.messages[&id];
+            let unsafe_now = self.s.classes[*class].effect == Effect::Unsafe;
+            let mut choice: Option<((f64, f64), usize, TargetId, bool)> = None;
+            for (lane, trial) in &open {
+                let l = &self.lanes[*lane];
+                // Unsafe messages are lost by an attempt without an answer: they stay away from what fails
+                // or is silent, but make a trial when nothing else has for an aim.
+                let risky = l.may_have_run && (*trial || l.failing > LOSSY);
+                let aim = self.s.classes[*class].aim;
+                if unsafe_now && risky && (self.now < m.born + aim || l.failing > LOSSY) {
+                    continue;
+                }
+                let over = fee_of(*lane) - least_fee;
+                if over > 0.0 && urgency < over * worth && self.now < m.born + aim / 2 {
+                    continue;
+                }
+                let zone = bound.checked_sub(1);
+                let Some(target) = self.endpoint(*lane, zone) else { continue };
+                let busy = l.calls.len() as f64 / l.window.max(1.0) + f64::from(u8::from(*trial));
+                let load = (over.max(0.0), busy);
+                if choice.is_none_or(|c| load < c.0) {
+                    choice = Some((load, *lane, target, *trial));
+                }
+            }
+            if let Some((_, lane, target, trial)) = choice {
+                let rank = if trial && unsafe_now { urgency - self.s.classes[*class].worth } else { urgency };
+                if best.is_none_or(|b| rank > b.0) {
+                    best = Some((rank, id, lane, target, trial));
+                }
+            }
+        }
+        best
+    }
+
+    /// Carries out one send; `call` joins the call that is being filled.
+    fn send(&mut self, id: MessageId, lane: usize, target: TargetId, trial: bool, call: Option<u64>) -> u64 {
+        let (jitter, longest) = (1.0 + TAU_JITTER * self.random(), self.least_aim() / 2.0);
+        self.dequeue(id);
+        let gap = self.gap(lane, self.now);
+        let call = call.unwrap_or_else(|| {
+            self.next_call += 1;
+            self.calls_out += 1;
+            let l = &mut self.lanes[lane];
+            l.tokens -= 1.0;
+            l.calls.insert(self.next_call, Call { target, sent: self.now, trial, ..Call::default() });
+            if let Gate::Out { backoff, .. } = l.gate {
+                let next = self.now + (backoff.max(gap) * jitter) as Micros;
+                l.gate = Gate::Out { next, backoff: (backoff * 1.3).min(longest) };
+            }
+            self.next_call
+        });
+        let l = &mut self.lanes[lane];
+        let zone = self.targets.get_mut(&target).map_or(0, |t| {
+            t.last_used = self.now;
+            t.zone
+        });
+        let Some(m) = self.messages.get_mut(&id) else { return call };
+        let c = &self.s.classes[m.class];
+        let tau = (l.times.tau * jitter) as Micros;
+        let again = match c.effect {
+            Effect::Repeatable => true,
+            Effect::Keyed => self.now + tau + 2 * self.s.tick < m.ran.map_or(self.now, |r| r.0) + c.window,
+            Effect::Unsafe => false,
+        };
+        let last = m.attempts.len() + 1 >= self.s.max_attempts as usize;
+        // The lesser of τ and the time left; the time left where no resend may follow.
+        let planned =
+            again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < m.expires;
+        let until = if planned { self.now + tau } else { m.expires };
+        m.ran.get_or_insert((self.now, zone));
+        if let Some(c) = l.calls.get_mut(&call) {
+            c.messages.push((id, m.attempts.len() as u32));
+        }
+        m.attempts.push(Attempt { target, call, planned, done: None });
+        self.out.push(Action::Send { id, target, until });
+        call
+    }
+
+    /// Fills a call further, where the destination takes several messages in one. A trial goes alone.
+    fn fill(&mut self, dest: DestinationId, lane: usize, target: TargetId, call: u64) {
+        let batch = self.s.batch.get(self.lanes[lane].kind).copied().unwrap_or(1);
+        let zone = self.targets.get(&target).map_or(0, |t| t.zone + 1);
+        for _ in 1..batch {
+            let Some(d) = self.destinations.get(&dest) else { return };
+            let open = d.ready.iter().filter(|((_, z), _)| *z == 0 || *z == zone);
+            let next = open.filter_map(|((c, _), set)| self.candidate(*c, set));
+            let Some((_, id)) = next.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+            let (m, l) = (&self.messages[&id], &self.lanes[lane]);
+            let unsafe_now = self.s.classes[m.class].effect == Effect::Unsafe;
+            if !self.allowed(m).0 || (unsafe_now && l.may_have_run && l.failing > LOSSY) {
+                return;
+            }
+            self.send(id, lane, target, false, Some(call));
+        }
+    }
+
+    /// Chooses what is sent now. Call it once after the last event of a moment.
+    pub fn decide(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.now = now;
+        while let Some((_, id)) = self.agenda.first().copied().filter(|(at, _)| *at <= now) {
+            self.agenda.pop_first();
+            let Some(m) = self.messages.get(&id) else { continue };
+            match self.give_up_at(m.expires) > now {
+                true => self.enqueue(id),
+                false if m.attempts.iter().all(|a| a.done.is_some()) => self.give_up(id),
+                false => {}
+            }
+        }
+        self.wake_at = Micros::MAX;
+        (self.now >= self.upkeep_at).then(|| self.upkeep());
+        let ready: Vec<DestinationId> =
+            self.destinations.iter().filter(|(_, d)| !d.ready.is_empty()).map(|(id, _)| *id).collect();
+        let mut best: Vec<_> = ready.into_iter().filter_map(|d| Some((d, self.best_send(d)?))).collect();
+        while self.calls_out < self.s.slots {
+            let top = (0..best.len()).max_by(|a, b| best[*a].1 .0.total_cmp(&best[*b].1 .0));
+            let Some(i) = top else { break };
+            let (dest, (_, id, lane, target, trial)) = best[i];
+            let m = &self.messages[&id];
+            let left = m.expires.saturating_sub(self.now) as f64;
+            // A keyed message whose window has lapsed while it was held may not go either.
+            if !self.allowed(m).0 || left < self.lanes[lane].times.least() {
+                self.give_up(id);
+            } else {
+                let call = self.send(id, lane, target, trial, None);
+                (!trial).then(|| self.fill(dest, lane, target, call));
+            }
+            match self.best_send(dest) {
+                Some(next) => best[i].1 = next,
+                None => drop(best.swap_remove(i)),
+            }
+        }
+        self.blocked = !best.is_empty();
+        let next = self.agenda.first().map_or(Micros::MAX, |a| a.0);
+        let at = self.upkeep_at.min(self.wake_at).min(next);
+        if at < self.armed {
+            self.armed = at;
+            self.out.push(Action::Timer { after: at.saturating_sub(self.now).max(1), token: 0 });
+        }
+        out.append(&mut self.out);
+    }
+
+    /// Timer work over the lanes: ageing, τ, rates, silence.
+    fn upkeep(&mut self) {
+        self.upkeep_at = self.now + UPKEEP;
+        self.turns.retain(|_, (line, rest)| !line.is_empty() || *rest > self.now);
+        let keep = 0.5f64.powf(UPKEEP as f64 / self.longest_deadline());
+        self.span = self.span * keep + UPKEEP as f64 / SECOND;
+        for lane in 0..self.lanes.len() {
+            let l = &mut self.lanes[lane];
+            l.times.age(keep);
+            l.heat *= keep;
+            if l.times.answers >= WARM_UP {
+                // A resend throws work away and does it again: its cost c is a mean answer.
+                l.times.retune(l.times.mean());
+            }
+            l.rate *= RATE_KEEP;
+            l.pace += if l.pace > 0.0 && l.limit <= 0.0 { PACE_RISE * (l.pace + 0.5) } else { 0.0 };
+            if matches!(l.gate, Gate::Ramp { since } if self.now > since + self.s.rules.ramp_time) {
+                l.gate = Gate::Open;
+            }
+            let out = matches!(l.gate, Gate::Out { .. });
+            if let Some(since) = self.silent(lane).filter(|_| !out) {
+                let l = &mut self.lanes[lane];
+                (l.may_have_run, l.trouble) = (true, l.trouble.or(Some(since)));
+                self.shut(lane);
+            }
+        }
+        self.release();
+    }
+
+    /// Takes back slots from calls past all that is usual, whatever leaves them without an end, so that one
+    /// silent endpoint does not hold up the others. Where the destination is out, what may be repeated at
+    /// will goes at once; the rest a few at a time while a send is blocked. Harms very late answers.
+    fn release(&mut self) {
+        let mut few = if self.blocked { self.s.slots.div_ceil(16) } else { 0 };
+        for lane in 0..if self.s.may_cancel { self.lanes.len() } else { 0 } {
+            let patience = self.patience(&self.lanes[lane]);
+            let silent = matches!(self.lanes[lane].gate, Gate::Out { .. }) && self.lanes[lane].may_have_run;
+            let old = |c: &&mut Call| !c.given_up && (self.now - c.sent) as f64 > patience;
+            for c in self.lanes[lane].calls.values_mut().filter(old) {
+                let repeatable = |m: &Message| self.s.classes[m.class].effect == Effect::Repeatable;
+                let free =
+                    silent && c.messages.iter().all(|m| self.messages.get(&m.0).is_some_and(repeatable));
+                if free || few > 0 {
+                    (few, c.given_up) = (few - u32::from(!free), true);
+                    let off = c.messages.iter().map(|(id, n)| Action::Cancel { id: *id, attempt: *n });
+                    self.out.extend(off);
+                }
+            }
+        }
+    }
+}
+
+impl Lane {
+    /// Halves the window, once for all calls that were out together.
+    fn halve(&mut self, sent: Micros, now: Micros) -> bool {
+        let due = self.halved <= sent;
+        if due {
+            (self.window, self.halved) = ((self.window / 2.0).max(1.0), now);
+        }
+        due
+    }
+
+    /// A known limit starts the pace at an even part, where that is more than chance brings within an aim.
+    fn limit_is(&mut self, rate: f64, senders: u32, aim: f64) {
+        if self.limit <= 0.0 {
+            let even = rate / f64::from(senders.max(1));
+            self.pace = if even * aim > 3.0 { even } else { 0.0 };
+        }
+        self.limit = rate;
+    }
+}
+
+#[cfg(test)]
+#[path = "brain_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,371 @@
+//! What goes into the decision module and what comes out: settings, events, actions.
+//!
+//! A forwarder that embeds [`crate::Brain`] does this in a loop: pass each thing that happened to
+//! `handle`, call `decide` after the last one of that moment, carry out the actions in their order.
+//! All times are microseconds of one clock that only advances; it may start anywhere.
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+/// A message, named by the caller; never used twice.
+pub type MessageId = u64;
+/// An endpoint of a destination, named by the caller.
+pub type TargetId = u32;
+/// A destination: a partner with one or more endpoints.
+pub type DestinationId = u32;
+
+/// What a repeat of a message of a class does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Effect {
+    /// May be repeated at will.
+    #[default]
+    Repeatable,
+    /// The destination drops repeats for a time.
+    Keyed,
+    /// Must never take effect twice.
+    Unsafe,
+}
+
+/// Which endpoints of a destination drop repeats of a keyed message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Group {
+    /// All of them.
+    #[default]
+    All,
+    /// Those in the zone of the first attempt that may have run.
+    Zone,
+}
+
+/// How worth falls once the aim has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum Decay {
+    /// Evenly, down to the late value at the deadline.
+    #[default]
+    Linear,
+    /// By half with each further aim, not under the late value.
+    Halving,
+}
+
+/// A class of message.
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    /// Delivered within this span a message earns its full worth.
+    pub aim: Micros,
+    /// Span in which a message may be delivered.
+    pub deadline: Micros,
+    /// What a delivery is worth.
+    pub worth: f64,
+    /// Share of the worth left at the deadline.
+    pub late_value: f64,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// For keyed classes: who drops repeats.
+    pub group: Group,
+    /// For keyed classes: how long, from the first attempt that may have run.
+    pub window: Micros,
+    /// Messages with the same order key go one at a time, as they came.
+    pub in_order: bool,
+    /// Answers come as streams: an attempt whose stream began belongs to the client.
+    pub streaming: bool,
+}
+
+/// Figures of the rules that a deployment promises to keep.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// A drained or removed endpoint gets nothing new after this span.
+    pub drain_grace: Micros,
+    /// Share of its capacity that a destination has at least on return from an outage.
+    pub cold_from: f64,
+    /// Span after which it has all of it.
+    pub ramp_time: Micros,
+    /// Load of more than this multiple of the present capacity ...
+    pub tip_multiple: f64,
+    /// ... for this long brings a cold destination down.
+    pub tip_after: Micros,
+    /// Rest of an order key after an attempt whose end is not sure.
+    pub order_pause: Micros,
+    /// Where the list is fetched: a sender that has not asked for so long counts as told.
+    pub ask_within: Micros,
+}
+
+/// What the list says of a destination's rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum ListedRate {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// Calls a second that the destination takes from all senders together.
+    Exact,
+    /// The same, but up to half too high or too low.
+    Rough,
+}
+
+/// All that a sender is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// Senders that share the destinations, this one included.
+    pub senders: u32,
+    /// Calls that may be out at once.
+    pub slots: u32,
+    /// Messages that may be held, sent or not.
+    pub max_held: u32,
+    /// Attempts for one message at most.
+    pub max_attempts: u32,
+    /// An attempt may be called off.
+    pub may_cancel: bool,
+    /// Checks may be sent.
+    pub may_probe: bool,
+    /// Two attempts of one message may be out at once.
+    pub may_duplicate: bool,
+    /// Refused clients are told how long to stay away.
+    pub may_advise_wait: bool,
+    /// Longest advice that clients heed.
+    pub max_advised_wait: Micros,
+    /// The list must be subscribed to.
+    pub subscribe: bool,
+    /// Classes of message; requests name their place.
+    pub classes: Vec<Class>,
+    /// How worth falls after the aim.
+    pub decay: Decay,
+    /// The rules' figures.
+    pub rules: Rules,
+    /// By kind of destination: messages that one call carries at most.
+    pub batch: Vec<u32>,
+    /// By kind of destination: endpoints are routes apart, each with its own limit, pace and outages.
+    pub routes_apart: Vec<bool>,
+    /// By zone: price of a message that a route apart takes on.
+    pub zone_fee: Vec<f64>,
+    /// Price of a call refused above a limit.
+    pub refused_price: f64,
+    /// Meaning of [`Endpoint::rate`].
+    pub listed_rate: ListedRate,
+    /// Idle connections close after this span.
+    pub connection_idle: Micros,
+    /// A connection not made within this span has failed.
+    pub connect_timeout: Micros,
+    /// Calls that one connection carries at once.
+    pub streams_per_connection: u32,
+    /// Shortest span between two moments at which events arrive.
+    pub tick: Micros,
+}
+
+/// State of an endpoint in the list. It tells nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
+pub enum EndpointState {
+    /// Listed.
+    #[default]
+    Ready,
+    /// Send nothing new.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A line of the list.
+#[derive(Clone, Debug, Default)]
+pub struct Endpoint {
+    /// Its name.
+    pub target: TargetId,
+    /// The destination it belongs to.
+    pub destination: DestinationId,
+    /// The destination's kind, a place in the settings' lists by kind.
+    pub kind: u32,
+    /// The zone it stands in.
+    pub zone: u32,
+    /// Its state.
+    pub state: EndpointState,
+    /// See [`ListedRate`].
+    pub rate: f64,
+}
+
+/// How a list event relates to the list so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed lines only.
+    Delta,
+    /// The whole list; what it lacks is gone.
+    Full,
+    /// The whole list as last known before a restart, perhaps outdated.
+    Cached,
+    /// A fetch or subscription failed; the list so far stays.
+    Failed,
+}
+
+/// End of an attempt or a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// Answered with an error; may have taken effect.
+    Error,
+    /// Turned away unseen: over a limit, queue full, shut or draining.
+    Full,
+    /// No answer in time; may have taken effect or still do.
+    TimedOut,
+    /// No connection; never ran.
+    ConnectFailed,
+    /// The connection broke; may have taken effect.
+    Reset,
+    /// Called off; may have taken effect.
+    Cancelled,
+    /// Not sent at all: no slot, message over, or out of attempts.
+    NotSent,
+}
+
+/// What a destination tells of its limit beside an answer; some time old and not exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitReport {
+    /// Share of the allowance that is left.
+    pub share_left: f64,
+    /// Calls a second that the limit allows, 0 where there is none.
+    pub rate: f64,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the list of endpoints.
+    List {
+        /// How it relates to the list so far.
+        kind: ListKind,
+        /// Grows with each change.
+        version: u32,
+        /// The lines.
+        endpoints: Vec<Endpoint>,
+    },
+    /// A message was handed in.
+    Request {
+        /// Its name.
+        id: MessageId,
+        /// Its class.
+        class: u32,
+        /// Where it is to go.
+        destination: DestinationId,
+        /// Key of its order, 0 for none.
+        order_key: u64,
+        /// It may be delivered until then.
+        expires: Micros,
+    },
+    /// The answer of a streamed message has begun.
+    Started {
+        /// The message.
+        id: MessageId,
+        /// Its attempt, from 0.
+        attempt: u32,
+    },
+    /// An attempt is over. Each [`Action::Send`] gets exactly one.
+    Outcome {
+        /// The message.
+        id: MessageId,
+        /// Its attempt, from 0.
+        attempt: u32,
+        /// Where it went.
+        target: TargetId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Span since it was sent.
+        took: Micros,
+        /// The message is over, by this or earlier.
+        ended: bool,
+        /// For [`Outcome::Full`]: the wait told, 0 for none.
+        wait: Micros,
+        /// What the destination tells of its limit.
+        report: Option<LimitReport>,
+    },
+    /// A probe is over.
+    Probed {
+        /// Where it went.
+        target: TargetId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Span since it was sent.
+        took: Micros,
+        /// What the destination tells of its limit.
+        report: Option<LimitReport>,
+    },
+    /// Nobody wants this message any more.
+    Lapsed {
+        /// The message.
+        id: MessageId,
+    },
+    /// A timer asked for is due.
+    Timer {
+        /// As asked for.
+        token: u32,
+    },
+    /// Another sender wrote; where senders may talk.
+    Peer {
+        /// Its rank.
+        from: u32,
+        /// What it wrote.
+        data: Vec<u8>,
+    },
+}
+
+/// Something to be done, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call `target` with the message; drop the attempt at `until`.
+    Send {
+        /// The message.
+        id: MessageId,
+        /// Where to.
+        target: TargetId,
+        /// Time-out, as a point in time.
+        until: Micros,
+    },
+    /// Call off an attempt.
+    Cancel {
+        /// The message.
+        id: MessageId,
+        /// Its attempt, from 0.
+        attempt: u32,
+    },
+    /// End the message undelivered; trying again is harmless.
+    Refuse {
+        /// The message.
+        id: MessageId,
+        /// Advice to the client on how long to stay away, 0 for none.
+        retry_after: Micros,
+    },
+    /// End the message as failed; nothing is promised.
+    Fail {
+        /// The message.
+        id: MessageId,
+    },
+    /// Check an endpoint.
+    Probe {
+        /// Which one.
+        target: TargetId,
+    },
+    /// Come back with [`Event::Timer`] after this span.
+    Timer {
+        /// From now.
+        after: Micros,
+        /// Comes back as given.
+        token: u32,
+    },
+    /// Shut idle connections to an endpoint.
+    CloseIdle {
+        /// Which one.
+        target: TargetId,
+    },
+    /// Subscribe to the list, or end that.
+    Subscribe {
+        /// On or off.
+        on: bool,
+    },
+    /// Ask once for the whole list.
+    FetchList,
+    /// Write to another sender, or to all.
+    Tell {
+        /// Its rank; all others if absent.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        data: Vec<u8>,
+    },
+    /// A line for the operators.
+    Log {
+        /// The text.
+        text: String,
+    },
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,123 @@
+//! What the decision module remembers: plain state, no decisions.
+
+use crate::brain::AnswerTimes;
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Circuit state of a destination or of a route apart.
+#[derive(Clone, Copy, Debug, PartialEq, Default)]
+pub(crate) enum Gate {
+    #[default]
+    Open,
+    /// Single trials, the next not before `next`, spaced by a backoff.
+    Out { next: Micros, backoff: f64 },
+    /// Slow start since the first answer.
+    Ramp { since: Micros },
+}
+
+/// A call in flight, with its messages and their attempts.
+#[derive(Debug, Default)]
+pub(crate) struct Call {
+    pub messages: Vec<(MessageId, u32)>,
+    pub target: TargetId,
+    pub sent: Micros,
+    pub trial: bool,
+    pub given_up: bool,
+}
+
+/// A destination's shared way, or one route apart: what has its own limit, pace and outages.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    pub targets: Vec<TargetId>,
+    pub kind: usize,
+    pub times: AnswerTimes,
+    /// Resends that may still be made.
+    pub budget: f64,
+    pub window: f64,
+    pub halved: Micros,
+    pub calls: BTreeMap<u64, Call>,
+    pub gate: Gate,
+    pub last_ok: Micros,
+    /// Start of the trouble since the last answer.
+    pub trouble: Option<Micros>,
+    /// Refusals in a row.
+    pub full_run: u32,
+    /// Smoothed share of failures.
+    pub failing: f64,
+    /// What failed last may have run.
+    pub may_have_run: bool,
+    /// Nothing is sent before then.
+    pub wait_until: Micros,
+    /// The known limit in calls a second, 0 if not known.
+    pub limit: f64,
+    /// Own calls a second, 0 if not limited.
+    pub pace: f64,
+    pub tokens: f64,
+    pub filled: Micros,
+    /// Calls served a second, smoothed over some seconds.
+    pub rate: f64,
+    /// Price of a message on a route apart.
+    pub fee: f64,
+    /// Messages that came for it, fading.
+    pub heat: f64,
+}
+
+/// An endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Target {
+    pub lane: usize,
+    pub zone: u32,
+    pub state: EndpointState,
+    pub last_used: Micros,
+    pub avoid_until: Micros,
+    /// It has turned a connection away.
+    pub denied: bool,
+}
+
+/// A destination and what is held for it.
+#[derive(Debug, Default)]
+pub(crate) struct Destination {
+    pub lanes: Vec<usize>,
+    /// Messages ready to go, by class and by the zone (plus one) that binds them, oldest first.
+    pub ready: BTreeMap<(usize, u32), BTreeSet<(Micros, MessageId)>>,
+}
+
+/// An attempt; `done` once it has its outcome.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub target: TargetId,
+    pub call: u64,
+    pub planned: bool,
+    pub done: Option<Outcome>,
+}
+
+/// A message.
+#[derive(Debug, Default)]
+pub(crate) struct Message {
+    pub class: usize,
+    pub destination: DestinationId,
+    pub order_key: u64,
+    pub born: Micros,
+    pub expires: Micros,
+    pub attempts: Vec<Attempt>,
+    /// Time and zone of the first attempt that may have run.
+    pub ran: Option<(Micros, u32)>,
+    /// The queue in which it stands ready.
+    pub queue: Option<(usize, u32)>,
+    pub over: bool,
+}
+
+/// How a call ended.
+pub(crate) struct End {
+    pub outcome: Outcome,
+    pub sent: Micros,
+    pub wait: Micros,
+    pub report: Option<LimitReport>,
+    pub planned: bool,
+}
+
+/// The messages of an order key, as they came, and until when the key rests.
+pub(crate) type Turns = (VecDeque<MessageId>, Micros);
+
+/// A send that could be made: its urgency, message, lane and endpoint, and whether it is a trial.
+pub(crate) type Pick = (f64, MessageId, usize, TargetId, bool);
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Everything a change must pass: format, lints, size of the decision module, tests, release build.
+set -euo pipefail
+cd "$(dirname "$0")"
+lines=$(grep -c '[^[:space:]]' src/brain.rs)
+wide=$(awk 'length($0) > 110' src/brain.rs | wc -l)
+echo "src/brain.rs: $lines lines that are not blank (850 at most), $wide over 110 characters"
+if [ "$lines" -gt 850 ] || [ "$wide" -gt 0 ]; then
+    echo "the decision module is over its limits" >&2
+    exit 1
+fi
+cargo fmt --check
+cargo clippy --locked --all-targets -- -D warnings
+cargo build --locked --release
+cargo test --locked
