--- /dev/null
+++ b/src/bin/foldtrack/config.rs
@@ -0,0 +1,76 @@
+//! What the forwarder is told at its start: the environment and the configuration file.
+
+use crate::platform::ServerList;
+use hatchline::settings::Parsed;
+use serde::Deserialize;
+use std::env;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Debug)]
+pub(crate) struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub sockets: usize,
+    pub disk_bytes: u64,
+    pub known: ServerList,
+    pub settings: Parsed,
+}
+
+#[derive(Deserialize)]
+struct ConfigFile {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: ServerList,
+    settings: Parsed,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+    disk_mb: f64,
+}
+
+fn variable(name: &str) -> Result<String, String> {
+    env::var(name).map_err(|e| format!("{name}: {e}"))
+}
+
+/// An address from the environment, where it is set, else the one from the file.
+fn address(name: &str, from_file: SocketAddr) -> Result<SocketAddr, String> {
+    match env::var(name) {
+        Ok(text) => text.parse().map_err(|e| format!("{name}: {text}: {e}")),
+        Err(_) => Ok(from_file),
+    }
+}
+
+impl Config {
+    pub fn load() -> Result<Config, String> {
+        let path = variable("BALANCER_CONFIG")?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        let file: ConfigFile = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let disk_bytes = file.limits.disk_mb * 1e6;
+        if !(disk_bytes.is_finite() && disk_bytes > 0.0) {
+            return Err(format!("{path}: limits.disk_mb is no room"));
+        }
+        if file.settings.settings.classes.is_empty() || file.settings.settings.slots == 0 {
+            return Err(format!("{path}: settings without classes or without slots"));
+        }
+        Ok(Config {
+            listen: address("BALANCER_LISTEN", file.listen)?,
+            discovery: address("BALANCER_DISCOVERY", file.discovery)?,
+            state: PathBuf::from(variable("BALANCER_STATE")?),
+            seed: u64::from_str_radix(&file.seed, 16)
+                .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
+            sockets: file.limits.sockets,
+            disk_bytes: disk_bytes as u64,
+            known: file.known,
+            settings: file.settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/journal.rs
@@ -0,0 +1,238 @@
+//! The file that outlasts the process: what was taken on and what has happened to it since.
+//!
+//! Each record is a frame of mark, length, CRC and content, appended with one `write`. The frames of
+//! messages that are not over are kept in memory too, so that compaction is writing them out again.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+const MARK: [u8; 2] = [0xf7, 0x1d];
+const HEAD: usize = 10;
+/// No frame is longer: a body of 64 KiB and the headers that come with it.
+const LONGEST: usize = 256 * 1024;
+/// Room between two compactions at the least, and for files to count in whole blocks.
+const SLACK: u64 = 16 * 1024;
+/// A file this far over twice what is live is compacted, however much room there is.
+const STALE: u64 = 1 << 20;
+/// Bytes at most that the two records of an attempt, and the one of a notice, take.
+const ATTEMPT_BYTES: u64 = 64;
+const NOTICE_BYTES: u64 = 64;
+
+/// Whether an attempt has run, as far as its outcome tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Fate {
+    NeverRan,
+    MayHaveRun,
+}
+
+/// The end of a message that is not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Notice {
+    GivenUp,
+    HandedBack { retry_in_ms: u64 },
+}
+
+/// A message as it was taken on. Times are Unix time in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Accepted {
+    pub id: String,
+    pub class: String,
+    pub destination: u32,
+    pub key: String,
+    pub idempotency_key: Option<String>,
+    /// What `X-Retry` said, for the operators.
+    pub retry: Option<String>,
+    pub expires: u64,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Record {
+    Accepted(Accepted),
+    /// Written before the attempt's first byte.
+    Begun {
+        at: u64,
+        zone: u32,
+    },
+    /// Of the attempt that was out: there is never more than one.
+    Ended(Fate),
+    /// Written before the notice is sent.
+    Noticed(Notice),
+    /// Delivered, or its notice is answered.
+    Over,
+}
+
+/// An attempt as the journal knows it; without a fate it was out when the process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Tried {
+    pub at: u64,
+    pub zone: u32,
+    pub fate: Option<Fate>,
+}
+
+/// What a restart finds of a message.
+#[derive(Debug)]
+pub(crate) struct Restored {
+    pub accepted: Accepted,
+    pub attempts: Vec<Tried>,
+    pub notice: Option<Notice>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Journal {
+    path: PathBuf,
+    file: File,
+    length: u64,
+    /// The frames of each message that is not over, by its number in the order of arrival.
+    live: BTreeMap<u64, Vec<u8>>,
+    live_bytes: u64,
+    room: u64,
+    reserve: u64,
+}
+
+impl Journal {
+    /// Opens the journal of a folder that may hold `room` bytes, and tells what is not over.
+    pub fn open(
+        folder: &Path, room: u64, max_attempts: u32,
+    ) -> io::Result<(Journal, BTreeMap<u64, Restored>)> {
+        let path = folder.join("journal");
+        // A compaction that the process did not live to finish.
+        let _ = fs::remove_file(path.with_extension("new"));
+        let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+        let bytes = fs::read(&path)?;
+        let reserve = ATTEMPT_BYTES * u64::from(max_attempts) + NOTICE_BYTES;
+        let (live, live_bytes) = (BTreeMap::new(), 0);
+        let mut journal = Journal { path, file, length: 0, live, live_bytes, room, reserve };
+        let mut restored = BTreeMap::new();
+        let mut at = 0;
+        while at < bytes.len() {
+            if let Some((frame, number, record)) = decode(&bytes[at..]) {
+                replay(&mut restored, number, &record);
+                journal.keep(number, &record, frame);
+                at += frame.len();
+                continue;
+            }
+            match (at + 1..bytes.len()).find(|next| decode(&bytes[*next..]).is_some()) {
+                Some(next) => {
+                    eprintln!("journal: {} damaged bytes at {at} passed over", next - at);
+                    at = next;
+                }
+                None => {
+                    eprintln!(
+                        "journal: cut at {at}, {} bytes of a record that was not finished",
+                        bytes.len() - at
+                    );
+                    journal.file.set_len(at as u64)?;
+                    break;
+                }
+            }
+        }
+        journal.length = at as u64;
+        // Damage may have taken what the frames of a message rest on: they are of no use then.
+        journal.live.retain(|number, _| restored.contains_key(number));
+        journal.live_bytes = journal.live.values().map(|f| f.len() as u64).sum();
+        Ok((journal, restored))
+    }
+
+    /// Whether a message of about this size can be taken on, with all that may have to be written of it: the
+    /// live frames must fit twice, once in the old file and once in the new one of a compaction.
+    pub fn has_room(&self, size: usize) -> bool {
+        let messages = self.live.len() as u64 + 1;
+        2 * (self.live_bytes + size as u64 + messages * self.reserve) + SLACK <= self.room
+    }
+
+    pub fn append(&mut self, number: u64, record: &Record) -> io::Result<()> {
+        let frame = encode(number, record)?;
+        let length = self.length + frame.len() as u64;
+        let full = length + self.live_bytes + frame.len() as u64 + SLACK / 2 > self.room;
+        if full || length > 2 * self.live_bytes + STALE {
+            self.compact()?;
+        }
+        if let Err(error) = self.file.write_all(&frame) {
+            // What was written of it would stand between the records that follow.
+            let _ = self.file.set_len(self.length);
+            return Err(error);
+        }
+        self.length += frame.len() as u64;
+        self.keep(number, record, &frame);
+        Ok(())
+    }
+
+    fn keep(&mut self, number: u64, record: &Record, frame: &[u8]) {
+        match record {
+            Record::Over => {
+                let gone = self.live.remove(&number).map_or(0, |f| f.len());
+                self.live_bytes -= gone as u64;
+            }
+            _ => {
+                self.live.entry(number).or_default().extend_from_slice(frame);
+                self.live_bytes += frame.len() as u64;
+            }
+        }
+    }
+
+    /// Writes what is live to a new file that takes the old one's place.
+    fn compact(&mut self) -> io::Result<()> {
+        let new = self.path.with_extension("new");
+        let mut bytes = Vec::with_capacity(self.live_bytes as usize);
+        self.live.values().for_each(|frames| bytes.extend_from_slice(frames));
+        let written = fs::write(&new, &bytes).and_then(|()| OpenOptions::new().append(true).open(&new));
+        match written.and_then(|file| fs::rename(&new, &self.path).map(|()| file)) {
+            Ok(file) => {
+                (self.file, self.length) = (file, bytes.len() as u64);
+                Ok(())
+            }
+            Err(error) => {
+                let _ = fs::remove_file(&new);
+                Err(error)
+            }
+        }
+    }
+}
+
+fn replay(restored: &mut BTreeMap<u64, Restored>, number: u64, record: &Record) {
+    if let Record::Accepted(accepted) = record {
+        let fresh = Restored { accepted: accepted.clone(), attempts: Vec::new(), notice: None };
+        restored.insert(number, fresh);
+        return;
+    }
+    let Some(message) = restored.get_mut(&number) else { return };
+    match record {
+        Record::Begun { at, zone } => message.attempts.push(Tried { at: *at, zone: *zone, fate: None }),
+        Record::Ended(fate) => {
+            if let Some(tried) = message.attempts.last_mut() {
+                tried.fate = Some(*fate);
+            }
+        }
+        Record::Noticed(notice) => message.notice = Some(*notice),
+        Record::Over => drop(restored.remove(&number)),
+        Record::Accepted(_) => {}
+    }
+}
+
+fn encode(number: u64, record: &Record) -> io::Result<Vec<u8>> {
+    let content = postcard::to_stdvec(&(number, record)).map_err(io::Error::other)?;
+    if content.len() > LONGEST {
+        return Err(io::Error::other("the record is too long"));
+    }
+    let mut frame = Vec::with_capacity(HEAD + content.len());
+    frame.extend_from_slice(&MARK);
+    frame.extend_from_slice(&(content.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
+    frame.extend_from_slice(&content);
+    Ok(frame)
+}
+
+/// The frame at the start of these bytes, if there is a whole and sound one.
+fn decode(bytes: &[u8]) -> Option<(&[u8], u64, Record)> {
+    let head = bytes.get(..HEAD).filter(|h| h.starts_with(&MARK))?;
+    let length = u32::from_le_bytes(head[2..6].try_into().ok()?) as usize;
+    let crc = u32::from_le_bytes(head[6..10].try_into().ok()?);
+    let frame = bytes.get(..HEAD + length).filter(|_| length <= LONGEST)?;
+    let content = &frame[HEAD..];
+    let (number, record) = postcard::from_bytes(content).ok().filter(|_| crc32fast::hash(content) == crc)?;
+    Some((frame, number, record))
+}
--- /dev/null
+++ b/src/bin/foldtrack/node.rs
@@ -0,0 +1,653 @@
+//! The loop that owns all state: the module, the messages and the journal. What sockets and timers tell
+//! comes in as [`Input`]s; what the module decides goes out, in its order.
+
+use crate::clients::{self, Desk};
+use crate::config::Config;
+use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
+use crate::platform::{self, ServerList, ServerState};
+use crate::targets::{self, Call, CallEnd, IdleConnections};
+use bytes::Bytes;
+use hatchline::settings::Parsed;
+use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
+use hyper::StatusCode;
+use serde_json::json;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{sleep_until, Instant};
+
+/// Inputs that one round takes in at most.
+const ROUND: usize = 1024;
+/// After SIGTERM: how long connections are still accepted, and by when the process has ended.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+const END_BY: Duration = Duration::from_millis(3400);
+/// Reports under way at once, notices in one, and the pause after one that failed.
+const REPORTS: usize = 8;
+const NOTICES: usize = 64;
+const REPORT_PAUSE: Micros = 100_000;
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Monotonic microseconds for the module, and their relation to Unix time for the journal.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    start: Instant,
+    unix_start: Micros,
+}
+
+impl Clock {
+    /// The count starts here, so that times before the start can be named too.
+    const BASE: Micros = 1 << 40;
+
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_start: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        Self::BASE + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(Self::BASE))
+    }
+
+    fn micros(&self, at: Instant) -> Micros {
+        Self::BASE + at.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
+    fn unix(&self, at: Micros) -> Micros {
+        (self.unix_start + at).saturating_sub(Self::BASE)
+    }
+
+    fn since_unix(&self, unix: Micros) -> Micros {
+        (Self::BASE + unix).saturating_sub(self.unix_start)
+    }
+}
+
+/// A message as it was handed in.
+#[derive(Debug)]
+pub(crate) struct Message {
+    pub id: String,
+    pub class: usize,
+    pub destination: u32,
+    pub key: String,
+    pub idempotency_key: Option<String>,
+    pub retry: Option<String>,
+    pub expires: Micros,
+    pub body: Bytes,
+}
+
+impl Message {
+    /// Bytes that it takes in the journal, about.
+    fn size(&self) -> usize {
+        let key = self.idempotency_key.as_ref().map_or(0, String::len);
+        self.body.len() + self.id.len() + self.key.len() + key + 128
+    }
+
+    /// The module's name for its key; two keys that share one only wait for each other.
+    fn order_key(&self) -> u64 {
+        if self.key.is_empty() {
+            return 0;
+        }
+        let mut hasher = DefaultHasher::new();
+        self.key.hash(&mut hasher);
+        hasher.finish().max(1)
+    }
+}
+
+/// How far the process is from its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Serving,
+    /// Told to end: answers close their connections.
+    Draining,
+    /// Nothing is accepted any more.
+    Closing,
+}
+
+/// What a client is told.
+pub(crate) enum Answer {
+    TakenOn(Receipt),
+    Refused { retry_after: Micros },
+}
+
+/// Tells the node, when it is dropped, whether the client's answer has been written.
+pub(crate) struct Receipt {
+    number: u64,
+    inputs: Inputs,
+    pub written: bool,
+}
+
+impl Drop for Receipt {
+    fn drop(&mut self) {
+        self.inputs.send(Input::Answered { number: self.number, written: self.written });
+    }
+}
+
+/// What happens to the node.
+pub(crate) enum Input {
+    HandIn {
+        message: Arc<Message>,
+        reply: oneshot::Sender<Answer>,
+    },
+    Answered {
+        number: u64,
+        written: bool,
+    },
+    CallEnded(CallEnd),
+    List(ServerList),
+    /// Notices were answered with this status, or not at all.
+    Reported {
+        numbers: Vec<u64>,
+        status: Option<StatusCode>,
+    },
+    Terminate,
+}
+
+/// The way to the node. The queue has no bound of its own: each connection and each call has one input under
+/// way, and connections and calls are bounded.
+#[derive(Clone)]
+pub(crate) struct Inputs(UnboundedSender<Input>);
+
+impl Inputs {
+    pub fn send(&self, input: Input) {
+        // The node is gone only when the process ends.
+        let _ = self.0.send(input);
+    }
+}
+
+/// How far the client has been told that its message is taken on.
+enum Taken {
+    /// Not at all: the module may refuse it yet.
+    Fresh(oneshot::Sender<Answer>),
+    /// The answer is on its way.
+    Answering,
+    /// Told.
+    On,
+}
+
+struct Held {
+    message: Arc<Message>,
+    taken: Taken,
+    attempts: u32,
+    /// A send that the module has decided on before the client was told.
+    waiting: Option<(u32, TargetId, Micros)>,
+}
+
+struct Server {
+    address: SocketAddr,
+    zone: u32,
+}
+
+struct Node {
+    clock: Clock,
+    brain: Brain,
+    settings: Arc<Parsed>,
+    journal: Journal,
+    inputs: Inputs,
+    discovery: SocketAddr,
+    next_number: u64,
+    /// What is taken on, or may be, by number in the order of arrival.
+    messages: BTreeMap<u64, Held>,
+    /// Those of this round whose clients wait for an answer.
+    fresh: Vec<u64>,
+    /// Ends that the platform has not taken yet, and which of them are to be sent now.
+    notices: BTreeMap<u64, (String, Notice)>,
+    unsent: BTreeSet<u64>,
+    reports_out: usize,
+    reports_from: Micros,
+    /// By message and attempt: what calls it off.
+    calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
+    idle: IdleConnections,
+    swept: Instant,
+    target_ids: HashMap<String, TargetId>,
+    servers: Vec<Server>,
+    timers: BTreeSet<(Micros, u32)>,
+    stage: watch::Sender<Stage>,
+    terminated: Option<Instant>,
+    actions: Vec<Action>,
+}
+
+/// The channel to a node that is yet to run.
+pub(crate) fn channel() -> (Inputs, UnboundedReceiver<Input>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    (Inputs(sender), receiver)
+}
+
+/// Restores what the journal holds, then serves until it is told to end.
+pub(crate) async fn run(
+    config: Config, inputs: Inputs, mut receiver: UnboundedReceiver<Input>,
+) -> io::Result<()> {
+    let clock = Clock::new();
+    let settings = Arc::new(config.settings);
+    let max_attempts = settings.settings.max_attempts;
+    let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts)?;
+    let (stage, stage_seen) = watch::channel(Stage::Serving);
+    let conn_idle = Duration::from_micros(settings.settings.connection_idle);
+    let mut node = Node {
+        clock,
+        brain: Brain::new(clock.now(), config.seed, settings.settings.clone()),
+        settings: settings.clone(),
+        journal,
+        inputs: inputs.clone(),
+        discovery: config.discovery,
+        next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
+        messages: BTreeMap::new(),
+        fresh: Vec::new(),
+        notices: BTreeMap::new(),
+        unsent: BTreeSet::new(),
+        reports_out: 0,
+        reports_from: 0,
+        calls: BTreeMap::new(),
+        idle: IdleConnections::new(conn_idle, config.sockets / 4),
+        swept: Instant::now(),
+        target_ids: HashMap::new(),
+        servers: Vec::new(),
+        timers: BTreeSet::new(),
+        stage,
+        terminated: None,
+        actions: Vec::new(),
+    };
+    node.list(config.known, ListKind::Cached);
+    for (number, message) in restored {
+        node.restore(number, message);
+    }
+    let listener = TcpListener::bind(config.listen).await?;
+    let desk = Desk { settings, clock, inputs: inputs.clone(), stage: stage_seen };
+    tokio::spawn(clients::serve(listener, Arc::new(desk), config.sockets / 2));
+    tokio::spawn(platform::watch(config.discovery, inputs));
+    let mut batch = Vec::new();
+    while !node.has_ended() {
+        node.round(&mut batch);
+        let wake = node.wake_at();
+        tokio::select! {
+            biased;
+            _ = receiver.recv_many(&mut batch, ROUND) => {}
+            () = sleep_until(wake) => {}
+        }
+    }
+    Ok(())
+}
+
+impl Node {
+    /// Takes in all that has happened, lets the module decide once, and carries out what it says.
+    fn round(&mut self, batch: &mut Vec<Input>) {
+        for input in batch.drain(..) {
+            self.take_in(input);
+        }
+        let now = self.clock.now();
+        while let Some((_, token)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.pop_first();
+            self.handle(Event::Timer { token });
+        }
+        self.brain.decide(self.clock.now(), &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            self.carry_out(action);
+        }
+        self.answer_clients();
+        self.report_notices();
+        self.step_down();
+        if self.swept.elapsed() > SWEEP {
+            self.swept = Instant::now();
+            self.idle.sweep();
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.brain.handle(self.clock.now(), event, &mut self.actions);
+    }
+
+    fn take_in(&mut self, input: Input) {
+        match input {
+            Input::HandIn { message, reply } => self.hand_in(message, reply),
+            Input::Answered { number, written } => self.answered(number, written),
+            Input::CallEnded(end) => self.call_ended(end),
+            Input::List(list) => {
+                let kind = if list.full { ListKind::Full } else { ListKind::Delta };
+                self.list(list, kind);
+            }
+            Input::Reported { numbers, status } => self.reported(numbers, status),
+            Input::Terminate => {
+                if self.terminated.is_none() {
+                    self.terminated = Some(Instant::now());
+                    self.stage.send_replace(Stage::Draining);
+                    let by = self.clock.now() + END_BY.as_micros() as Micros;
+                    self.handle(Event::Stopping { by });
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, list: ServerList, kind: ListKind) {
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).map_or(u32::MAX, |at| at as u32)
+        };
+        let mut endpoints = Vec::with_capacity(list.servers.len());
+        for line in list.servers {
+            let zone = place(&self.settings.zone_names, &line.zone);
+            let target = *self.target_ids.entry(line.id).or_insert_with(|| {
+                self.servers.push(Server { address: line.addr, zone });
+                self.servers.len() as TargetId - 1
+            });
+            self.servers[target as usize] = Server { address: line.addr, zone };
+            endpoints.push(Endpoint {
+                target,
+                destination: line.cell,
+                kind: place(&self.settings.kind_names, &line.kind),
+                zone,
+                state: match line.state {
+                    ServerState::Active => EndpointState::Ready,
+                    ServerState::Leaving => EndpointState::Draining,
+                    ServerState::Left => EndpointState::Gone,
+                },
+                rate: line.weight,
+            });
+        }
+        let version = u32::try_from(list.version).unwrap_or(u32::MAX);
+        self.handle(Event::List { kind, version, endpoints });
+    }
+
+    /// Takes over what the journal holds of a message.
+    fn restore(&mut self, number: u64, restored: Restored) {
+        let Restored { accepted, attempts, notice } = restored;
+        if let Some(notice) = notice {
+            self.notices.insert(number, (accepted.id, notice));
+            self.unsent.insert(number);
+            return;
+        }
+        let class = self.settings.class_names.iter().position(|n| *n == accepted.class);
+        let message = Message {
+            id: accepted.id,
+            class: class.unwrap_or(usize::MAX),
+            destination: accepted.destination,
+            key: accepted.key,
+            idempotency_key: accepted.idempotency_key,
+            retry: accepted.retry,
+            expires: self.clock.since_unix(accepted.expires),
+            body: accepted.body.into(),
+        };
+        let (order_key, destination, expires) = (message.order_key(), message.destination, message.expires);
+        let held = Held {
+            message: Arc::new(message),
+            taken: Taken::On,
+            attempts: attempts.len() as u32,
+            waiting: None,
+        };
+        self.messages.insert(number, held);
+        let Some(class) = class else {
+            // The settings have changed since: nothing can be promised.
+            return self.end(number, Notice::GivenUp);
+        };
+        let first = attempts.iter().find(|t| t.fate != Some(Fate::NeverRan));
+        let first_run = first.map(|t| (self.clock.since_unix(t.at), t.zone));
+        let outcome = |fate| match fate {
+            Some(Fate::NeverRan) => Outcome::NotSent,
+            Some(Fate::MayHaveRun) | None => Outcome::Reset,
+        };
+        let attempts = attempts.iter().map(|t| outcome(t.fate)).collect();
+        let class = class as u32;
+        self.handle(Event::Restored {
+            id: number,
+            class,
+            destination,
+            order_key,
+            expires,
+            attempts,
+            first_run,
+        });
+    }
+
+    fn hand_in(&mut self, message: Arc<Message>, reply: oneshot::Sender<Answer>) {
+        let full = self.messages.len() >= self.settings.settings.max_held as usize;
+        if full || !self.journal.has_room(message.size()) {
+            let _ = reply.send(Answer::Refused { retry_after: 0 });
+            return;
+        }
+        let id = self.next_number;
+        self.next_number += 1;
+        let event = Event::Request {
+            id,
+            class: message.class as u32,
+            destination: message.destination,
+            order_key: message.order_key(),
+            expires: message.expires,
+        };
+        self.messages.insert(id, Held { message, taken: Taken::Fresh(reply), attempts: 0, waiting: None });
+        self.fresh.push(id);
+        self.handle(event);
+    }
+
+    /// Takes on what the module has not refused: first the journal, then the answer.
+    fn answer_clients(&mut self) {
+        for number in std::mem::take(&mut self.fresh) {
+            let Some(held) = self.messages.get_mut(&number) else { continue };
+            let Taken::Fresh(reply) = std::mem::replace(&mut held.taken, Taken::Answering) else { continue };
+            let message = &held.message;
+            let accepted = Record::Accepted(Accepted {
+                id: message.id.clone(),
+                class: self.settings.class_names[message.class].clone(),
+                destination: message.destination,
+                key: message.key.clone(),
+                idempotency_key: message.idempotency_key.clone(),
+                retry: message.retry.clone(),
+                expires: self.clock.unix(message.expires),
+                body: message.body.to_vec(),
+            });
+            if let Err(error) = self.journal.append(number, &accepted) {
+                eprintln!("journal: a message is refused: {error}");
+                let _ = reply.send(Answer::Refused { retry_after: 0 });
+                self.withdraw(number);
+                continue;
+            }
+            let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
+            // If the client has gone, the receipt is dropped here and says so.
+            let _ = reply.send(Answer::TakenOn(receipt));
+        }
+    }
+
+    /// The client has its answer, and the message may go; or it has gone before, and nothing is taken on.
+    fn answered(&mut self, number: u64, written: bool) {
+        if !written {
+            self.record(number, &Record::Over);
+            return self.withdraw(number);
+        }
+        let Some(held) = self.messages.get_mut(&number) else { return };
+        held.taken = Taken::On;
+        if let Some((attempt, target, until)) = held.waiting.take() {
+            self.start(number, attempt, target, until);
+        }
+    }
+
+    /// Forgets a message that was not taken on after all.
+    fn withdraw(&mut self, number: u64) {
+        let Some(held) = self.messages.remove(&number) else { return };
+        if let Some((attempt, target, _)) = held.waiting {
+            self.outcome(number, attempt, target, Outcome::NotSent, true);
+        }
+        self.handle(Event::Lapsed { id: number });
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, target, until } => {
+                let Some(held) = self.messages.get_mut(&id) else { return };
+                let attempt = held.attempts;
+                held.attempts += 1;
+                if matches!(held.taken, Taken::On) {
+                    self.start(id, attempt, target, until);
+                } else {
+                    held.waiting = Some((attempt, target, until));
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                if let Some(cancel) = self.calls.remove(&(id, attempt)) {
+                    // A call that has just ended tells its own end.
+                    let _ = cancel.send(());
+                }
+            }
+            Action::Refuse { id, retry_after } => {
+                let Some(held) = self.messages.get_mut(&id) else { return };
+                match std::mem::replace(&mut held.taken, Taken::On) {
+                    Taken::Fresh(reply) => {
+                        let _ = reply.send(Answer::Refused { retry_after });
+                        self.messages.remove(&id);
+                    }
+                    _ => self.end(id, Notice::HandedBack { retry_in_ms: retry_after / 1000 }),
+                }
+            }
+            Action::Fail { id } => self.end(id, Notice::GivenUp),
+            Action::Timer { after, token } => drop(self.timers.insert((self.clock.now() + after, token))),
+            Action::CloseIdle { target } => self.idle.close(target),
+            Action::Log { text } => eprintln!("{text}"),
+            // The list is watched all the time; probes and talk are not for this kind of deployment.
+            Action::Subscribe { .. } | Action::FetchList | Action::Probe { .. } | Action::Tell { .. } => {}
+        }
+    }
+
+    /// Starts a call; its record stands in the journal before its first byte goes out.
+    fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
+        let Some(held) = self.messages.get(&number) else { return };
+        let message = held.message.clone();
+        let Server { address, zone } = self.servers[target as usize];
+        let begun = Record::Begun { at: self.clock.unix(self.clock.now()), zone };
+        if let Err(error) = self.journal.append(number, &begun) {
+            eprintln!("journal: a call is not made: {error}");
+            return self.outcome(number, attempt, target, Outcome::NotSent, false);
+        }
+        let (cancel, cancelled) = oneshot::channel();
+        self.calls.insert((number, attempt), cancel);
+        let call = Call {
+            number,
+            attempt,
+            target,
+            address,
+            message,
+            dial_timeout: Duration::from_micros(self.settings.settings.connect_timeout),
+            until: self.clock.instant(until),
+            connection: self.idle.take(target),
+            reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
+        };
+        tokio::spawn(targets::call(call, cancelled, self.inputs.clone()));
+    }
+
+    fn outcome(&mut self, id: u64, attempt: u32, target: TargetId, outcome: Outcome, ended: bool) {
+        self.handle(Event::Outcome { id, attempt, target, outcome, took: 0, ended, wait: 0, report: None });
+    }
+
+    fn call_ended(&mut self, end: CallEnd) {
+        self.calls.remove(&(end.number, end.attempt));
+        if let Some(connection) = end.connection {
+            self.idle.put(end.target, connection);
+        }
+        let held = self.messages.contains_key(&end.number);
+        if end.over {
+            self.messages.remove(&end.number);
+            if held {
+                self.record(end.number, &Record::Over);
+            }
+        } else if held {
+            let never = matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
+            let fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
+            self.record(end.number, &Record::Ended(fate));
+        }
+        let now = self.clock.now();
+        self.handle(Event::Outcome {
+            id: end.number,
+            attempt: end.attempt,
+            target: end.target,
+            outcome: end.outcome,
+            took: now.saturating_sub(self.clock.micros(end.begun)),
+            ended: end.over || !held,
+            // A wait runs from the answer's arrival, not from now.
+            wait: end.wait_until.map_or(0, |until| self.clock.micros(until).saturating_sub(now)),
+            report: end.report,
+        });
+    }
+
+    /// Writes what a restart can do without: lacking it, more counts as perhaps run than has.
+    fn record(&mut self, number: u64, record: &Record) {
+        if let Err(error) = self.journal.append(number, record) {
+            eprintln!("journal: {error}");
+        }
+    }
+
+    /// Ends a message by a notice.
+    fn end(&mut self, number: u64, notice: Notice) {
+        let Some(held) = self.messages.remove(&number) else { return };
+        if let Taken::Fresh(reply) = held.taken {
+            let _ = reply.send(Answer::Refused { retry_after: 0 });
+            return;
+        }
+        self.record(number, &Record::Noticed(notice));
+        self.notices.insert(number, (held.message.id.clone(), notice));
+        self.unsent.insert(number);
+    }
+
+    fn report_notices(&mut self) {
+        while !self.unsent.is_empty() && self.reports_out < REPORTS && self.clock.now() >= self.reports_from {
+            let numbers: Vec<u64> = self.unsent.iter().copied().take(NOTICES).collect();
+            let mut lines = String::new();
+            for number in &numbers {
+                self.unsent.remove(number);
+                let line = match &self.notices[number] {
+                    (id, Notice::GivenUp) => json!({"message": id, "outcome": "given_up"}),
+                    (id, Notice::HandedBack { retry_in_ms: 0 }) => {
+                        json!({"message": id, "outcome": "handed_back"})
+                    }
+                    (id, Notice::HandedBack { retry_in_ms }) => {
+                        json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
+                    }
+                };
+                lines.push_str(&format!("{line}\n"));
+            }
+            self.reports_out += 1;
+            tokio::spawn(platform::report(self.discovery, lines, numbers, self.inputs.clone()));
+        }
+    }
+
+    fn reported(&mut self, numbers: Vec<u64>, status: Option<StatusCode>) {
+        self.reports_out -= 1;
+        if status == Some(StatusCode::NO_CONTENT) {
+            for number in numbers {
+                self.notices.remove(&number);
+                self.record(number, &Record::Over);
+            }
+            return;
+        }
+        eprintln!("notices were not taken: {status:?}");
+        self.reports_from = self.clock.now() + REPORT_PAUSE;
+        self.unsent.extend(numbers);
+    }
+
+    /// The steps to the end of a process that was told to end.
+    fn step_down(&mut self) {
+        let closing = self.terminated.is_some_and(|at| at.elapsed() >= ACCEPT_ON);
+        if closing && *self.stage.borrow() == Stage::Draining {
+            self.stage.send_replace(Stage::Closing);
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        let Some(at) = self.terminated else { return false };
+        let idle = self.calls.is_empty() && self.messages.is_empty() && self.notices.is_empty();
+        at.elapsed() >= END_BY || idle && at.elapsed() >= 2 * ACCEPT_ON
+    }
+
+    fn wake_at(&self) -> Instant {
+        let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
+        let reports = (!self.unsent.is_empty()).then(|| self.clock.instant(self.reports_from));
+        let stop = self.terminated.map(|at| {
+            let steps = [at + ACCEPT_ON, at + 2 * ACCEPT_ON, at + END_BY];
+            steps.into_iter().find(|s| *s > Instant::now()).unwrap_or(at)
+        });
+        let wakes = [timer, reports.filter(|_| self.reports_out < REPORTS), stop];
+        wakes.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + SWEEP)
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/platform.rs
@@ -0,0 +1,139 @@
+//! The platform's agent: a watch on the list of targets, and reports on how messages ended.
+
+use crate::node::{Input, Inputs};
+use crate::targets::Connection;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{sleep, timeout, Instant};
+
+/// How long a watch may stay without news, and how much later its answer may come.
+const WATCH: Duration = Duration::from_secs(10);
+const WATCH_LATE: Duration = Duration::from_secs(2);
+/// Pauses after a failure: doubled each time, from the first to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// An agent that answers each watch at once, without news, is not asked more often than this.
+const EMPTY_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_LIST: usize = 4 << 20;
+/// A report without an answer for so long goes again on a new connection.
+const REPORT_WAIT: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub(crate) struct ServerList {
+    pub version: u64,
+    #[serde(default)]
+    pub full: bool,
+    #[serde(default)]
+    pub servers: Vec<ServerLine>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct ServerLine {
+    pub id: String,
+    pub addr: SocketAddr,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub kind: String,
+    pub cell: u32,
+    pub state: ServerState,
+    #[serde(default)]
+    pub weight: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum ServerState {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// An exchange with the agent; the connection is kept in `connection` unless it failed.
+async fn exchange(
+    connection: &mut Option<Connection>, address: SocketAddr, request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, Bytes)> {
+    let mut open = match connection.take() {
+        Some(open) => open,
+        None => Connection::open(address).await.ok()?,
+    };
+    let response = open.send(request).await.ok()?;
+    let status = response.status();
+    let body = open.finish(response.into_body(), LONGEST_LIST).await?;
+    *connection = Some(open);
+    Some((status, body))
+}
+
+fn get(address: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
+    Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()
+}
+
+/// Watches the list for as long as the process runs.
+pub(crate) async fn watch(address: SocketAddr, inputs: Inputs) {
+    let mut connection = None;
+    let mut version: Option<u64> = None;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let path = match version {
+            Some(v) => format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()),
+            None => "/v1/servers".to_string(),
+        };
+        let asked = Instant::now();
+        let answer = match get(address, &path) {
+            Some(request) => timeout(WATCH + WATCH_LATE, exchange(&mut connection, address, request)).await,
+            None => Ok(None),
+        };
+        let Ok(Some((status, body))) = answer else {
+            // Silent, or gone: the list stays as it is, and the watch goes on from its version.
+            connection = None;
+            sleep(pause).await;
+            pause = (2 * pause).min(LONGEST_PAUSE);
+            continue;
+        };
+        match serde_json::from_slice::<ServerList>(&body) {
+            Ok(list) if status == StatusCode::OK => {
+                pause = FIRST_PAUSE;
+                let empty = !list.full && list.servers.is_empty();
+                version = Some(list.version);
+                if !empty {
+                    inputs.send(Input::List(list));
+                } else if asked.elapsed() < EMPTY_PAUSE {
+                    sleep(EMPTY_PAUSE).await;
+                }
+            }
+            odd => {
+                eprintln!(
+                    "discovery: status {status}, {}",
+                    odd.err().map_or("no list".into(), |e| e.to_string())
+                );
+                // Perhaps the version is unknown there: the whole list is asked for.
+                version = None;
+                sleep(pause).await;
+                pause = (2 * pause).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Sends notices, one JSON object a line, and tells whether they were taken, or cannot be read.
+pub(crate) async fn report(address: SocketAddr, lines: String, numbers: Vec<u64>, inputs: Inputs) {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/reports")
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(lines)));
+    let status = match request {
+        Ok(request) => match timeout(REPORT_WAIT, exchange(&mut None, address, request)).await {
+            Ok(Some((status, _))) => Some(status),
+            _ => None,
+        },
+        Err(_) => None,
+    };
+    inputs.send(Input::Reported { numbers, status });
+}
--- /dev/null
+++ b/src/bin/foldtrack/targets.rs
@@ -0,0 +1,258 @@
+//! Calls to targets: one call and its outcome, and the connections that stand idle between calls.
+
+use crate::node::{Input, Inputs, Message};
+use bytes::Bytes;
+use hatchline::{LimitReport, Outcome, TargetId};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// The rest of an answer, whose meaning its first line has told, must come within this span and size for the
+/// connection to be used again.
+const REST_WAIT: Duration = Duration::from_millis(20);
+const REST_BYTES: usize = 64 * 1024;
+/// Bytes of an answer's head that are kept before it is given up.
+const HEAD_BYTES: usize = 16 * 1024;
+
+/// An HTTP connection. It closes when this is dropped, also in the middle of a call.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Why there is no answer.
+pub(crate) enum Failure {
+    /// It was handed back before a byte of it was written.
+    Unsent,
+    Broken,
+}
+
+impl Connection {
+    pub async fn open(address: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        // Errors reach the call that is out; between calls they only end the connection.
+        let driver = tokio::spawn(async move { drop(connection.await) });
+        Ok(Connection { sender, driver })
+    }
+
+    /// Hands a request to the connection and waits for the head of the answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+            Some(_) => Failure::Unsent,
+            None => Failure::Broken,
+        })
+    }
+
+    /// Reads an answer to its end and waits until the next request may go.
+    pub async fn finish(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
+        let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
+        self.sender.ready().await.ok()?;
+        Some(body)
+    }
+
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+}
+
+/// The connections that stand idle, by target, the one used last at the end.
+#[derive(Debug)]
+pub(crate) struct IdleConnections {
+    by_target: BTreeMap<TargetId, Vec<(Instant, Connection)>>,
+    longest: Duration,
+    most: usize,
+}
+
+impl IdleConnections {
+    /// Targets close a connection that has been idle for `conn_idle`. A call that meets such a close may have
+    /// run, which ends an unsafe message: connections are not used for the last second of it.
+    pub fn new(conn_idle: Duration, most: usize) -> Self {
+        let margin = Duration::from_secs(1).min(conn_idle / 4);
+        IdleConnections { by_target: BTreeMap::new(), longest: conn_idle - margin, most }
+    }
+
+    pub fn take(&mut self, target: TargetId) -> Option<Connection> {
+        self.sweep();
+        let idle = self.by_target.get_mut(&target)?;
+        let last = idle.iter().rposition(|(_, c)| c.is_usable())?;
+        Some(idle.remove(last).1)
+    }
+
+    pub fn put(&mut self, target: TargetId, connection: Connection) {
+        self.by_target.entry(target).or_default().push((Instant::now(), connection));
+        if self.by_target.values().map(Vec::len).sum::<usize>() > self.most {
+            let oldest = self.by_target.values_mut().filter(|v| !v.is_empty()).min_by_key(|v| v[0].0);
+            oldest.map(|v| v.remove(0));
+        }
+    }
+
+    pub fn close(&mut self, target: TargetId) {
+        self.by_target.remove(&target);
+    }
+
+    /// Drops those that have shown their end or have been idle for too long.
+    pub fn sweep(&mut self) {
+        let now = Instant::now();
+        for idle in self.by_target.values_mut() {
+            idle.retain(|(since, c)| !c.sender.is_closed() && now < *since + self.longest);
+        }
+        self.by_target.retain(|_, idle| !idle.is_empty());
+    }
+}
+
+/// A call to be made.
+pub(crate) struct Call {
+    pub number: u64,
+    pub attempt: u32,
+    pub target: TargetId,
+    pub address: SocketAddr,
+    pub message: Arc<Message>,
+    pub dial_timeout: Duration,
+    pub until: Instant,
+    /// One that stood idle.
+    pub connection: Option<Connection>,
+    /// Answers told as limit reports.
+    pub reports: bool,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) struct CallEnd {
+    pub number: u64,
+    pub attempt: u32,
+    pub target: TargetId,
+    pub begun: Instant,
+    pub outcome: Outcome,
+    /// The answer says that nothing is owed for the message any more.
+    pub over: bool,
+    /// Nothing is to be sent to the destination until then.
+    pub wait_until: Option<Instant>,
+    pub report: Option<LimitReport>,
+    /// Fit for the next call.
+    pub connection: Option<Connection>,
+}
+
+/// Makes one call and tells its end: exactly once, and never tries again by itself.
+pub(crate) async fn call(call: Call, mut cancelled: oneshot::Receiver<()>, inputs: Inputs) {
+    let mut end = CallEnd {
+        number: call.number,
+        attempt: call.attempt,
+        target: call.target,
+        begun: Instant::now(),
+        outcome: Outcome::ConnectFailed,
+        over: false,
+        wait_until: None,
+        report: None,
+        connection: None,
+    };
+    let Call { message, connection: idle, until, dial_timeout, address, reports, .. } = call;
+    let reused = idle.is_some();
+    // From when the request is with the connection only an answer proves that it has not run.
+    let mut handed_over = false;
+    let exchange = async {
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => match timeout(dial_timeout, Connection::open(address)).await {
+                Ok(Ok(connection)) => connection,
+                _ => return Err(Outcome::ConnectFailed),
+            },
+        };
+        let request = request(&message, address, until).ok_or(Outcome::NotSent)?;
+        handed_over = true;
+        match connection.send(request).await {
+            Ok(response) => Ok((connection, response)),
+            // A connection that was closed while it stood idle tells nothing of the target's health.
+            Err(Failure::Unsent) if reused => Err(Outcome::NotSent),
+            Err(Failure::Unsent) => Err(Outcome::ConnectFailed),
+            Err(Failure::Broken) => Err(Outcome::Reset),
+        }
+    };
+    let answer = tokio::select! {
+        biased;
+        answer = exchange => answer.map_err(Some),
+        () = sleep_until(until) => Err(None),
+        Ok(()) = &mut cancelled => Err(Some(Outcome::Cancelled)),
+    };
+    match answer {
+        Ok((mut connection, response)) => {
+            read_head(&mut end, &response, reports);
+            let rest = timeout(REST_WAIT, connection.finish(response.into_body(), REST_BYTES)).await;
+            end.connection = matches!(rest, Ok(Some(_))).then_some(connection);
+        }
+        Err(Some(Outcome::Cancelled)) if !handed_over => end.outcome = Outcome::NotSent,
+        Err(None) if !handed_over => end.outcome = Outcome::ConnectFailed,
+        Err(None) => end.outcome = Outcome::TimedOut,
+        Err(Some(outcome)) => end.outcome = outcome,
+    }
+    inputs.send(Input::CallEnded(end));
+}
+
+fn request(message: &Message, address: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
+    let left = until.saturating_duration_since(Instant::now()).as_micros();
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/messages")
+        .header(HOST, address.to_string())
+        .header("X-Request-Id", &message.id)
+        .header("X-Deadline", format!("{left}u"))
+        .header(CONTENT_TYPE, "application/octet-stream");
+    if let Some(key) = &message.idempotency_key {
+        request = request.header("Idempotency-Key", key);
+    }
+    request.body(Full::new(message.body.clone())).ok()
+}
+
+/// What an answer means, by the table of the protocol. What is not in it may have run.
+fn read_head(end: &mut CallEnd, response: &Response<Incoming>, reports: bool) {
+    let headers = response.headers();
+    end.outcome = match response.status() {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Full,
+        StatusCode::SERVICE_UNAVAILABLE if headers.contains_key("X-Line-Busy") => Outcome::NotSent,
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
+        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::NotSent,
+        _ => Outcome::Error,
+    };
+    end.over = matches!(response.status(), StatusCode::OK | StatusCode::GONE);
+    if end.outcome == Outcome::Full {
+        let wait = text(headers, "X-Come-Back-Ms").and_then(|ms| ms.trim().parse::<f64>().ok());
+        let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+        end.wait_until = wait.and_then(|w| Instant::now().checked_add(w));
+    }
+    end.report = text(headers, "X-Load").filter(|_| reports).and_then(limit_report);
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn limit_report(text: &str) -> Option<LimitReport> {
+    let value = |name: &str| {
+        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        let mut named = pairs.filter(|(n, _)| n.trim() == name);
+        named.next()?.1.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+    };
+    Some(LimitReport { share_left: value("x0")?, rate: value("x1")? })
+}
--- a/src/bin/hatchline-adapter/host.rs
+++ b/src/bin/hatchline-adapter/host.rs
@@ -1,7 +1,7 @@
 //! One decision module for each instance number; translation between wire and interface.
 
-use crate::settings::{self, Parsed};
 use crate::wire::{Batch, Entry, Input, Malformed, Output, Reply};
+use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, LimitReport, ListKind, Outcome};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -75,7 +75,7 @@
                     continue;
                 }
                 Input::Born { i, salt, env } => {
-                    let Parsed { settings, share_left_at, rate_at } = settings::parse(&env)
+                    let Parsed { settings, share_left_at, rate_at, .. } = serde_json::from_slice(&env)
                         .map_err(|e| Malformed(format!("the settings of instance {i} do not parse: {e}")))?;
                     let brain = guarded(i, &mut reply, || Brain::new(clock, salt, settings));
                     touched.insert(i, Vec::new());
--- a/src/bin/hatchline-adapter/main.rs
+++ b/src/bin/hatchline-adapter/main.rs
@@ -2,7 +2,6 @@
 #![warn(missing_docs)]
 
 mod host;
-mod settings;
 mod wire;
 
 use std::io::{BufReader, BufWriter, Write};
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -163,7 +163,7 @@
     /// When to look at a message again: its time is up, or its key has rested.
     agenda: BTreeSet<(Micros, MessageId)>,
     upkeep_at: Micros, span: f64, spread: f64, wake_at: Micros, armed: Micros,
-    calls_out: u32, next_call: u64, blocked: bool, list_version: u32, logged: u32,
+    calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>, list_version: u32, logged: u32,
 }
 
 impl Brain {
@@ -184,6 +184,15 @@
                 let class = class as usize;
                 self.request(id, Message { class, destination, order_key, expires, ..Message::default() })
             }
+            Event::Restored { id, class, destination, order_key, expires, attempts, first_run } => {
+                let attempt = |o| Attempt { target: 0, call: 0, planned: false, done: Some(o) };
+                let attempts = attempts.into_iter().map(attempt).collect();
+                let (class, ran) = (class as usize, first_run);
+                let m =
+                    Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
+                self.restored(id, m)
+            }
+            Event::Stopping { by } => self.stopping = Some(by),
             Event::Started { id, .. } | Event::Lapsed { id } => self.finish(id),
             Event::Outcome { id, attempt, outcome, took, ended, wait, report, .. } => {
                 let sent = now.saturating_sub(took);
@@ -280,7 +289,8 @@
         if self.messages.contains_key(&id) {
             return;
         }
-        let Some(c) = self.s.classes.get(m.class).filter(|_| expires > self.now) else {
+        let timely = expires > self.now || m.ran.is_some();
+        let Some(c) = self.s.classes.get(m.class).filter(|_| timely) else {
             return self.out.push(Action::Refuse { id, retry_after: 0 });
         };
         m.born = expires.saturating_sub(c.deadline);
@@ -298,6 +308,18 @@
         self.make_room();
     }
 
+    /// Takes a message over from before a restart. Calls that it cut off may run on: the key rests. What may
+    /// not be sent again, as unsafe ones that may have run, ends at once.
+    fn restored(&mut self, id: MessageId, m: Message) {
+        if self.s.classes.get(m.class).is_some_and(|c| c.in_order) && m.order_key != 0 {
+            self.turns.entry(m.order_key).or_default().1 = self.now + self.s.rules.order_pause;
+        }
+        self.request(id, m);
+        if self.messages.get(&id).is_some_and(|m| !self.allowed(m).0) {
+            self.give_up(id);
+        }
+    }
+
     /// Guards the room against a backlog for one destination, whatever holds it up, that would turn all else
     /// away: of the longest queue the message of least worth goes. Harms a backlog about to move.
     fn make_room(&mut self) {
@@ -584,6 +606,10 @@
     /// Whether a lane takes a call now, and whether as a trial; if not, when to look again.
     fn can_call(&mut self, lane: usize, cap: u32) -> Result<bool, Micros> {
         let own = self.own(lane);
+        let usual = self.patience(&self.lanes[lane]) as Micros;
+        if self.stopping.is_some_and(|by| self.now + usual > by) {
+            return Err(Micros::MAX); // it would be cut off, and may have run
+        }
         let r = &self.s.rules;
         let l = &mut self.lanes[lane];
         let (mut rate, mut depth) = (l.pace, (l.pace / 2.0).max(1.0));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -245,6 +245,28 @@
         /// It may be delivered until then.
         expires: Micros,
     },
+    /// A message that was taken on before a restart and is not over; in the order in which they were taken.
+    Restored {
+        /// Its name.
+        id: MessageId,
+        /// Its class.
+        class: u32,
+        /// Where it is to go.
+        destination: DestinationId,
+        /// Key of its order, 0 for none.
+        order_key: u64,
+        /// It may be delivered until then; perhaps in the past.
+        expires: Micros,
+        /// How the attempts so far ended. One that was cut off by the restart counts as [`Outcome::Reset`].
+        attempts: Vec<Outcome>,
+        /// Start and zone of the first attempt that may have run.
+        first_run: Option<(Micros, u32)>,
+    },
+    /// The process is to end: calls that are out then are cut off.
+    Stopping {
+        /// The time of its end.
+        by: Micros,
+    },
     /// The answer of a streamed message has begun.
     Started {
         /// The message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod brain;
 pub mod interface;
+pub mod settings;
 mod state;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,178 @@
+//! The settings as a deployment words them, in JSON, and their translation. Unknown keys are ignored.
+
+use crate::{Class, Decay, Effect, Group, ListedRate, Micros, Rules, Settings};
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Env {
+    balancers: u32,
+    categories: Vec<Category>,
+    #[serde(default)]
+    contract: Contract,
+    #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    limits: Limits,
+    #[serde(default)]
+    machine_types: Vec<String>,
+    #[serde(default)]
+    report: Report,
+    #[serde(default)]
+    tick: Micros,
+    #[serde(default)]
+    weight_source: String,
+}
+
+#[derive(Deserialize)]
+struct Category {
+    aim: Micros,
+    deadline: Micros,
+    #[serde(default)]
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    one_at_a_time: bool,
+    #[serde(default)]
+    streaming: bool,
+    #[serde(default)]
+    window: Micros,
+    #[serde(default)]
+    worth: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Contract {
+    ask_within: Micros,
+    cold_from: f64,
+    order_pause: Micros,
+    ramp_time: Micros,
+    stop_sending_within: Micros,
+    tip_after: Micros,
+    tip_multiple: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FamilyInfo {
+    batch_by_kind: Vec<u32>,
+    decay: String,
+    own_limits: Vec<bool>,
+    refused_price: f64,
+    slots: u32,
+    zone_fee: Vec<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Limits {
+    conn_idle: Micros,
+    dial_timeout: Micros,
+    max_open: u32,
+    max_retry_after: Micros,
+    may_cancel: bool,
+    may_duplicate: bool,
+    may_probe: bool,
+    retry_after: bool,
+    streams_per_conn: u32,
+    try_limit: u32,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+/// The settings of an instance, the names in them, and where the two values of its limit report stand.
+#[derive(Debug, Deserialize)]
+#[serde(from = "Env")]
+pub struct Parsed {
+    /// What the decisions need.
+    pub settings: Settings,
+    /// Names of the classes of message, in their order.
+    pub class_names: Vec<String>,
+    /// Names of the kinds of destination.
+    pub kind_names: Vec<String>,
+    /// Names of the zones.
+    pub zone_names: Vec<String>,
+    /// Place of the share that is left in a report.
+    pub share_left_at: Option<usize>,
+    /// Place of the limit's rate in a report.
+    pub rate_at: Option<usize>,
+}
+
+impl From<Env> for Parsed {
+    fn from(env: Env) -> Self {
+        let place = |name: &str| env.report.fields.iter().position(|f| f == name);
+        let (share_left_at, rate_at) = (place("x0"), place("x1"));
+        let class_names = env.categories.iter().map(|c| c.name.clone()).collect();
+        let classes = env.categories.iter().map(|c| Class {
+            aim: c.aim,
+            deadline: c.deadline,
+            worth: c.worth,
+            late_value: c.late_value,
+            effect: match c.effect.as_str() {
+                "repeatable" => Effect::Repeatable,
+                "by_key" => Effect::Keyed,
+                _ => Effect::Unsafe,
+            },
+            group: if c.group == "all" { Group::All } else { Group::Zone },
+            window: c.window,
+            in_order: c.one_at_a_time,
+            streaming: c.streaming,
+        });
+        let settings = Settings {
+            senders: env.balancers,
+            slots: env.family_info.slots,
+            max_held: env.limits.max_open,
+            max_attempts: env.limits.try_limit,
+            may_cancel: env.limits.may_cancel,
+            may_probe: env.limits.may_probe,
+            may_duplicate: env.limits.may_duplicate,
+            may_advise_wait: env.limits.retry_after,
+            max_advised_wait: env.limits.max_retry_after,
+            subscribe: env.discovery == "on_request",
+            classes: classes.collect(),
+            decay: if env.family_info.decay == "halving" { Decay::Halving } else { Decay::Linear },
+            rules: Rules {
+                drain_grace: env.contract.stop_sending_within,
+                cold_from: env.contract.cold_from,
+                ramp_time: env.contract.ramp_time,
+                tip_multiple: env.contract.tip_multiple,
+                tip_after: env.contract.tip_after,
+                order_pause: env.contract.order_pause,
+                ask_within: env.contract.ask_within,
+            },
+            batch: env.family_info.batch_by_kind,
+            routes_apart: env.family_info.own_limits,
+            zone_fee: env.family_info.zone_fee,
+            refused_price: env.family_info.refused_price,
+            listed_rate: match env.weight_source.as_str() {
+                "nominal" => ListedRate::Exact,
+                "rough" => ListedRate::Rough,
+                _ => ListedRate::Unknown,
+            },
+            connection_idle: env.limits.conn_idle,
+            connect_timeout: env.limits.dial_timeout,
+            streams_per_connection: env.limits.streams_per_conn,
+            tick: env.tick,
+        };
+        Parsed {
+            settings,
+            class_names,
+            kind_names: env.machine_types,
+            zone_names: env.dcs,
+            share_left_at,
+            rate_at,
+        }
+    }
+}
