--- a/src/brain.rs
+++ b/src/brain.rs
@@ -459,7 +459,13 @@
             self.finish(id);
         } else if m.attempts.iter().all(|a| a.done.is_some()) {
             if self.allowed(m).0 && self.now < self.give_up_at(m.expires) {
-                self.enqueue(id);
+                if outcome == Outcome::NotSent {
+                    // What kept it back may last: at once again and again would use up its attempts.
+                    let pause = self.s.tick << m.attempts.len().min(8);
+                    self.agenda.insert((self.now + pause, id));
+                } else {
+                    self.enqueue(id);
+                }
             } else {
                 self.give_up(id);
             }
--- /dev/null
+++ b/tests/forwarder/main.rs
@@ -0,0 +1,415 @@
+//! The forwarder as a process among stand-ins on loopback: the rules, restarts, and each failure found.
+
+mod world;
+
+use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use world::*;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+/// One target of destination 1, the platform that lists it, and a forwarder.
+fn one_target(
+    behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static,
+) -> (Arc<Server>, Platform, Forwarder) {
+    let target = Server::start(behaviour);
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    (target, platform, forwarder)
+}
+
+#[test]
+fn a_message_goes_on_unchanged_and_is_owed_nothing_once_delivered() {
+    let (target, platform, forwarder) = one_target(|_| OK);
+    let body: Vec<u8> = (0..=255).cycle().take(64 * 1024).collect();
+    assert_eq!(forwarder.hand_in(&update("m1", "k").body(body.clone())), 202);
+    eventually("the call", || target.ids() == ["m1"]);
+    let call = &target.seen()[0];
+    assert_eq!((call.method.as_str(), call.path.as_str()), ("POST", "/v1/messages"));
+    assert_eq!(call.headers["idempotency-key"], "key-of-m1");
+    assert!(call.headers["x-deadline"].ends_with('u'));
+    assert!(call.body == body);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    eventually("the next of its key", || target.ids() == ["m1", "m2"]);
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn what_is_malformed_is_answered_and_harms_nothing() {
+    let (target, _platform, mut forwarder) = one_target(|_| OK);
+    let text = String::from_utf8(update("m1", "k").bytes()).unwrap();
+    let status =
+        |text: String| forwarder.exchange(text.as_bytes()).split(' ').nth(1).unwrap_or("").to_string();
+    assert_eq!(status(text.replace("X-Deadline: 24000m", "X-Deadline: soon")), "400");
+    assert_eq!(status(text.replace("X-Deadline: 24000m", "X-Deadline: é")), "400");
+    assert_eq!(status(text.replace("dest=1", "dest=one")), "400");
+    assert_eq!(status(text.replace("X-Request-Id", "X-Other")), "400");
+    assert_eq!(status(text.replace("Idempotency-Key", "X-Other")), "400");
+    assert_eq!(status(text.replace("/update/", "/unknown/")), "404");
+    assert_eq!(status(text.replace("HTTP/1.1", "SPDY")), "400");
+    assert_eq!(forwarder.hand_in(&update("m2", "k").body(vec![0; 64 * 1024 + 1])), 413);
+    assert_eq!(forwarder.hand_in(&update("m3", "k")), 202);
+    eventually("the call", || target.ids() == ["m3"]);
+    assert!(forwarder.is_running());
+}
+
+#[test]
+fn a_key_goes_one_at_a_time_and_in_order() {
+    let (target, _platform, forwarder) = one_target(|_| Reply::Later(MS(150), 200));
+    for n in 0..5 {
+        assert_eq!(forwarder.hand_in(&update(&format!("m{n}"), "k")), 202);
+    }
+    eventually("all calls", || target.seen().len() == 5);
+    assert_eq!(target.ids(), ["m0", "m1", "m2", "m3", "m4"]);
+    for pair in target.seen().windows(2) {
+        assert!(pair[1].at - pair[0].at >= MS(150), "two of a key were out at once");
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_destination_during_a_wait() {
+    let (target, _platform, forwarder) = one_target(|_| Reply::Status(429, "X-Come-Back-Ms: 700\r\n"));
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || target.seen().len() == 1);
+    target.behave(|_| OK);
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("both", || target.seen().len() == 3);
+    assert!(target.seen()[1].at - target.seen()[0].at >= MS(700));
+}
+
+#[test]
+fn a_drained_target_gets_nothing_new() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || old.seen().len() == 1);
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    eventually("the list is told", || platform.has_told());
+    for n in 2..8 {
+        assert_eq!(forwarder.hand_in(&fee(&format!("m{n}"))), 202);
+    }
+    eventually("the calls", || new.seen().len() == 6);
+    assert_eq!(old.seen().len(), 1);
+}
+
+/// The first watch fails; the list known from the configuration serves meanwhile.
+#[test]
+fn a_silent_discovery_leaves_the_known_list_in_use() {
+    let target = Server::start(|_| OK);
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    platform.server.behave(|_| Reply::Close);
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the call", || target.ids() == ["m1"]);
+    eventually("discovery is asked again", || platform.server.seen().len() > 3);
+}
+
+#[test]
+fn a_silent_target_gets_no_second_unsafe_attempt_and_the_end_is_told_in_time() {
+    let (target, platform, forwarder) = one_target(|_| Reply::Silence);
+    let start = Instant::now();
+    assert_eq!(forwarder.hand_in(&fee("m1").within(800)), 202);
+    eventually("the notice", || platform.has("m1", "given_up"));
+    let notice = platform.server.seen().into_iter().find(|r| r.method == "POST").unwrap();
+    assert!(notice.at - start >= MS(700), "ended early");
+    assert_eq!(target.ids(), ["m1"]);
+}
+
+#[test]
+fn a_refusing_target_proves_that_nothing_ran() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let platform = Platform::start(vec![line("s-1", closed, 1, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&fee("m1").within(600)), 202);
+    eventually("the notice", || platform.has("m1", "handed_back"));
+}
+
+#[test]
+fn odd_answers_count_as_perhaps_run() {
+    for raw in [&b"HTTP/1.1 abc\r\n\r\n"[..], b"\0\0\0\0", b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"] {
+        let (target, platform, mut forwarder) = one_target(move |_| Reply::Raw(raw));
+        assert_eq!(forwarder.hand_in(&fee("m1").within(20_000)), 202);
+        eventually("the notice", || platform.has("m1", "given_up"));
+        assert_eq!(target.ids(), ["m1"]);
+        assert!(forwarder.is_running());
+    }
+}
+
+#[test]
+fn the_table_of_outcomes_is_kept() {
+    // Never ran: an unsafe message goes again.
+    for (status, headers) in [(503, ""), (503, "X-Line-Busy: 1\r\n"), (429, "X-Come-Back-Ms: 1\r\n")] {
+        let (target, platform, forwarder) = one_target(move |_| Reply::Status(status, headers));
+        assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+        eventually("the first call", || !target.seen().is_empty());
+        target.behave(|_| OK);
+        eventually("another call", || target.seen().len() > 1);
+        assert!(platform.notices().is_empty(), "{status} {headers}");
+    }
+    // May have run: it ends, and goes to nobody again.
+    let (target, platform, forwarder) = one_target(|_| Reply::Status(500, ""));
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the notice", || platform.has("m1", "given_up"));
+    assert_eq!(target.ids(), ["m1"]);
+    // Over: nothing is owed. Its key is free for the next.
+    let (target, platform, forwarder) =
+        one_target(|r| Reply::Status(if r.id() == "m1" { 410 } else { 200 }, ""));
+    assert_eq!(forwarder.hand_in(&update("m1", "k")), 202);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    eventually("the calls", || target.ids() == ["m1", "m2"]);
+    assert!(platform.notices().is_empty());
+    // Out of attempts: the end is still owed.
+    let (_target, platform, forwarder) = one_target(|_| Reply::Status(504, ""));
+    assert_eq!(forwarder.hand_in(&fee("m1").within(2_000)), 202);
+    eventually("the notice", || platform.has("m1", "handed_back"));
+}
+
+/// A target that closes an idle connection unannounced must not cost an unsafe message its only attempt.
+#[test]
+fn a_stale_connection_meets_no_call() {
+    let (target, platform, forwarder) = one_target(|_| Reply::OkAndClose);
+    for n in 0..20 {
+        assert_eq!(forwarder.hand_in(&fee(&format!("m{n}"))), 202);
+        eventually("the call", || target.seen().len() == n + 1);
+        sleep(MS(20));
+    }
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn an_idle_connection_is_used_again_but_not_past_its_time() {
+    let target = Server::start(|_| OK);
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let forwarder =
+        Forwarder::start_with(&platform, |c| c["settings"]["limits"]["conn_idle"] = 2_000_000.into());
+    let connection = |id: &str| {
+        assert_eq!(forwarder.hand_in(&fee(id)), 202);
+        eventually("the call", || target.ids().contains(&id.to_string()));
+        sleep(MS(50));
+        target.seen().last().unwrap().connection
+    };
+    let burst: Vec<usize> = (0..12).map(|n| connection(&format!("m{n}"))).collect();
+    assert!(burst.windows(2).any(|pair| pair[0] == pair[1]), "never used again: {burst:?}");
+    sleep(MS(2_000));
+    assert!(!burst.contains(&connection("late")), "used past its time");
+}
+
+#[test]
+fn a_killed_forwarder_takes_up_its_messages_again() {
+    let (target, platform, mut forwarder) = one_target(|_| Reply::Silence);
+    assert_eq!(forwarder.hand_in(&fee("unsafe")), 202);
+    eventually("the unsafe call", || target.ids() == ["unsafe"]);
+    for id in ["first", "second", "third"] {
+        assert_eq!(forwarder.hand_in(&update(id, "k")), 202);
+    }
+    assert_eq!(forwarder.hand_in(&fee("short").within(600)), 202);
+    forwarder.kill();
+    target.behave(|_| OK);
+    sleep(MS(700));
+    forwarder.start_again();
+    eventually("the calls", || target.ids().contains(&"third".to_string()));
+    let again: Vec<_> = target.ids().into_iter().filter(|id| !id.contains("unsafe")).collect();
+    assert_eq!(again, ["first", "second", "third"], "in their order, and nothing past its time");
+    eventually("what may have run is given up", || platform.has("unsafe", "given_up"));
+    eventually("what is past its time has its end", || platform.notices().iter().any(|n| n.0 == "short"));
+    assert_eq!(target.ids().iter().filter(|id| *id == "unsafe").count(), 1);
+    // All is over: nothing of it comes again.
+    let (calls, notices) = (target.seen().len(), platform.notices().len());
+    sleep(MS(200));
+    forwarder.kill();
+    forwarder.start_again();
+    assert_eq!(forwarder.hand_in(&update("fourth", "k")), 202);
+    eventually("the call", || target.seen().len() == calls + 1);
+    assert_eq!(platform.notices().len(), notices);
+}
+
+#[test]
+fn a_forwarder_killed_at_any_moment_loses_and_repeats_nothing() {
+    let (target, platform, mut forwarder) = one_target(|_| Reply::Later(MS(15), 200));
+    let mut taken = Vec::new();
+    for round in 0..8 {
+        let start = Instant::now();
+        for n in 0.. {
+            let id = format!("m{round}-{n}");
+            if forwarder.hand_in(&fee(&id)) == 202 {
+                taken.push(id);
+            }
+            if start.elapsed() > MS(40 + 7 * round) {
+                break;
+            }
+        }
+        forwarder.kill();
+        forwarder.start_again();
+    }
+    eventually("each has its end", || {
+        let (ids, notices) = (target.ids(), platform.notices());
+        taken.iter().all(|id| ids.contains(id) || notices.iter().any(|n| n.0 == *id))
+    });
+    let mut ids = target.ids();
+    ids.sort();
+    assert!(ids.windows(2).all(|pair| pair[0] != pair[1]), "an unsafe message was sent twice");
+}
+
+#[test]
+fn sigterm_lets_calls_end_and_the_journal_keeps_the_rest() {
+    let (target, platform, mut forwarder) = one_target(|_| Reply::Later(MS(1_000), 200));
+    assert_eq!(forwarder.hand_in(&fee("out")), 202);
+    eventually("the call", || target.ids() == ["out"]);
+    // Nothing is listed for it yet.
+    assert_eq!(forwarder.hand_in(&fee("held").to(2)), 202);
+    let start = Instant::now();
+    let mut kept = forwarder.connect();
+    forwarder.signal("TERM");
+    eventually("its answers close their connections", || match kept.ask("/healthz") {
+        Some(head) => head.contains("connection: close"),
+        None => true,
+    });
+    // Taken on or, on a machine too slow for that, not heard.
+    let late = forwarder.hand_in(&fee("late").to(2));
+    assert!(late == 202 || late == 0, "{late}");
+    assert!(forwarder.wait().success());
+    assert!(start.elapsed() < MS(3_700), "took {:?}", start.elapsed());
+    assert!(platform.notices().is_empty());
+    let there = Server::start(|_| OK);
+    let out = line("s-1", target.address, 1, "active");
+    platform.change(vec![out, line("s-2", there.address, 2, "active")]);
+    forwarder.start_again();
+    eventually("the rest", || there.ids().len() == 1 + usize::from(late == 202));
+    assert!(there.ids().contains(&"held".to_string()));
+    assert_eq!(target.ids(), ["out"]);
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn a_torn_tail_is_cut_and_damage_elsewhere_is_passed_over() {
+    let (target, _platform, mut forwarder) = one_target(|_| Reply::Silence);
+    assert_eq!(forwarder.hand_in(&fee("out")), 202);
+    eventually("the call", || target.ids() == ["out"]);
+    for id in ["first", "second", "third"] {
+        assert_eq!(forwarder.hand_in(&update(id, "k").body(id.into())), 202);
+    }
+    forwarder.kill();
+    let mut bytes = fs::read(forwarder.journal()).unwrap();
+    let second = bytes.windows(6).rposition(|w| w == b"second").unwrap();
+    bytes[second] ^= 1;
+    bytes.truncate(bytes.len() - 3);
+    fs::write(forwarder.journal(), bytes).unwrap();
+    target.behave(|_| OK);
+    forwarder.start_again();
+    eventually("the sound one", || target.ids().contains(&"first".to_string()));
+    assert_eq!(forwarder.hand_in(&update("fourth", "k")), 202);
+    eventually("the new one", || target.ids().contains(&"fourth".to_string()));
+    assert_eq!(target.ids(), ["out", "first", "fourth"]);
+    // What was written behind the cut is sound.
+    forwarder.kill();
+    forwarder.start_again();
+    assert_eq!(forwarder.hand_in(&update("fifth", "k")), 202);
+    eventually("the next", || target.ids().contains(&"fifth".to_string()));
+    assert!(!target.ids().iter().any(|id| id == "second" || id == "third"), "{:?}", target.ids());
+}
+
+#[test]
+fn the_journal_stays_within_its_room() {
+    let target = Server::start(|_| OK);
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let room = 400_000;
+    let mut forwarder = Forwarder::start_with(&platform, |c| c["limits"]["disk_mb"] = 0.4.into());
+    let watched = |forwarder: &Forwarder| {
+        let on_disk = forwarder.on_disk();
+        assert!(on_disk <= room, "{on_disk} of {room} bytes");
+    };
+    // Far more than the room in all, little of it at once.
+    for n in 0..60 {
+        assert_eq!(forwarder.hand_in(&fee(&format!("m{n}")).body(vec![7; 30_000])), 202, "message {n}");
+        eventually("the call", || target.seen().len() == n + 1);
+        watched(&forwarder);
+    }
+    // More at once than there is room for.
+    target.behave(|_| Reply::Silence);
+    let statuses: Vec<u16> = (0..20)
+        .map(|n| {
+            let status = forwarder.hand_in(&fee(&format!("n{n}")).body(vec![7; 30_000]));
+            watched(&forwarder);
+            status
+        })
+        .collect();
+    let taken = statuses.iter().filter(|s| **s == 202).count();
+    assert!(taken >= 3 && statuses.ends_with(&[503]), "{statuses:?}");
+    forwarder.kill();
+    target.behave(|_| OK);
+    forwarder.start_again();
+    watched(&forwarder);
+    let ends = || platform.notices().len() + target.ids().iter().filter(|id| id.starts_with('n')).count();
+    eventually("those taken on have their end", || ends() > taken);
+    eventually("there is room again", || forwarder.hand_in(&fee("more").body(vec![7; 30_000])) == 202);
+    watched(&forwarder);
+}
+
+/// Frozen while a client hands in and leaves: the client hands the message in elsewhere.
+#[test]
+fn a_message_whose_client_has_gone_before_the_answer_is_not_sent() {
+    let (target, platform, forwarder) = one_target(|_| OK);
+    forwarder.signal("STOP");
+    let mut stream = TcpStream::connect(forwarder.listen).unwrap();
+    stream.write_all(&fee("gone").bytes()).unwrap();
+    drop(stream);
+    sleep(MS(50));
+    forwarder.signal("CONT");
+    assert_eq!(forwarder.hand_in(&fee("here")), 202);
+    eventually("the call", || target.ids().contains(&"here".to_string()));
+    sleep(MS(100));
+    assert_eq!(target.ids(), ["here"]);
+    assert!(platform.notices().is_empty());
+}
+
+#[test]
+fn notices_go_again_until_they_are_taken_also_after_a_restart() {
+    let (_target, platform, mut forwarder) = one_target(|_| Reply::Status(500, ""));
+    platform.server.behave(|r| if r.method == "POST" { Reply::Status(503, "") } else { Reply::Silence });
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("two tries", || platform.notices().len() >= 2);
+    forwarder.kill();
+    let before = platform.notices().len();
+    platform.server.behave(|r| if r.method == "POST" { Reply::Status(204, "") } else { Reply::Silence });
+    forwarder.start_again();
+    eventually("another", || platform.notices().len() > before);
+    sleep(MS(300));
+    assert_eq!(platform.notices().len(), before + 1, "sent on though taken");
+    assert!(platform.notices().iter().all(|n| n == &("m1".to_string(), "given_up".to_string())));
+}
+
+/// The answer to an attempt that was given up comes on a connection that nothing else uses.
+#[test]
+fn a_late_answer_reaches_no_later_attempt() {
+    let (target, platform, forwarder) = one_target(|_| Reply::Later(MS(900), 500));
+    assert_eq!(forwarder.hand_in(&fee("m1").within(400)), 202);
+    eventually("the notice", || platform.has("m1", "given_up"));
+    target.behave(|_| OK);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    eventually("the call", || target.ids().contains(&"m2".to_string()));
+    sleep(MS(1_000));
+    assert_eq!(platform.notices().len(), 1);
+    let seen = target.seen();
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
+
+#[test]
+fn what_it_cannot_start_with_is_said_in_a_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    for text in [None, Some("{"), Some("{\"listen\":\"127.0.0.1:0\"}")] {
+        text.into_iter().for_each(|t| fs::write(&path, t).unwrap());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_foldtrack"));
+        command.env_clear().env("BALANCER_CONFIG", &path).env("BALANCER_STATE", folder.path());
+        let output = command.stdout(Stdio::null()).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(1));
+        assert!(said.lines().count() == 1 && !said.contains("panic"), "{said}");
+    }
+}
--- /dev/null
+++ b/tests/forwarder/world.rs
@@ -0,0 +1,423 @@
+//! Stand-ins on loopback for all that a forwarder talks to, and the forwarder as a process.
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// What is waited for comes at once on an idle machine; this is for one that is not.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "not in {PATIENCE:?}: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+    pub at: Instant,
+    /// Number of the connection it came on.
+    pub connection: usize,
+}
+
+impl Request {
+    pub fn id(&self) -> &str {
+        &self.headers["x-request-id"]
+    }
+}
+
+/// What a stand-in does with a request.
+#[derive(Clone)]
+pub enum Reply {
+    /// Answers with a status and header lines.
+    Status(u16, &'static str),
+    /// Answers with a body.
+    Body(Vec<u8>),
+    /// Writes these bytes, whatever they mean.
+    Raw(&'static [u8]),
+    /// Answers 200 and closes the connection without having said so.
+    OkAndClose,
+    /// Answers after a while.
+    Later(Duration, u16),
+    /// Never answers; keeps the connection open.
+    Silence,
+    Close,
+}
+
+pub const OK: Reply = Reply::Status(200, "");
+
+/// Version and lines of the list, and news of a change.
+type List = (Mutex<(u64, Vec<Value>)>, Condvar);
+type Behaviour = Box<dyn Fn(&Request) -> Reply + Send + Sync>;
+
+/// An HTTP server with a thread for each connection. Its port is freed when the test's process ends.
+pub struct Server {
+    pub address: SocketAddr,
+    seen: Mutex<Vec<Request>>,
+    behaviour: Mutex<Arc<Behaviour>>,
+}
+
+fn read_request(stream: &mut BufReader<TcpStream>, connection: usize) -> Option<Request> {
+    let mut line = String::new();
+    stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    let mut words = line.split_whitespace();
+    let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_lowercase(), value.trim().to_string());
+    }
+    let length = headers.get("content-length").map_or(0, |l| l.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Request { method, path, headers, body, at: Instant::now(), connection })
+}
+
+impl Server {
+    pub fn start(behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = Arc::new(Server {
+            address: listener.local_addr().unwrap(),
+            seen: Mutex::default(),
+            behaviour: Mutex::new(Arc::new(Box::new(behaviour))),
+        });
+        let shared = server.clone();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (server, stream) = (shared.clone(), stream.unwrap());
+                thread::spawn(move || server.serve(stream, connection));
+            }
+        });
+        server
+    }
+
+    fn serve(&self, mut stream: TcpStream, connection: usize) {
+        stream.set_nodelay(true).unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = read_request(&mut reader, connection) {
+            self.seen.lock().unwrap().push(request.clone());
+            let behaviour = self.behaviour.lock().unwrap().clone();
+            let status = |status: u16, headers: &str, body: &[u8]| {
+                let head =
+                    format!("HTTP/1.1 {status} Told\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+                [head.as_bytes(), body].concat()
+            };
+            let answer = match behaviour(&request) {
+                Reply::Status(code, headers) => status(code, headers, b""),
+                Reply::Body(body) => status(200, "", &body),
+                Reply::Raw(bytes) => bytes.to_vec(),
+                Reply::Later(after, code) => {
+                    thread::sleep(after);
+                    status(code, "", b"")
+                }
+                Reply::OkAndClose => {
+                    let _ = stream.write_all(&status(200, "", b""));
+                    return;
+                }
+                Reply::Silence => {
+                    let _ = reader.read_to_end(&mut Vec::new());
+                    return;
+                }
+                Reply::Close => return,
+            };
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn behave(&self, behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) {
+        *self.behaviour.lock().unwrap() = Arc::new(Box::new(behaviour));
+    }
+
+    pub fn seen(&self) -> Vec<Request> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    pub fn ids(&self) -> Vec<String> {
+        self.seen().iter().map(|r| r.id().to_string()).collect()
+    }
+}
+
+/// Discovery and the takers of notices.
+pub struct Platform {
+    pub server: Arc<Server>,
+    list: Arc<List>,
+}
+
+pub fn line(id: &str, address: SocketAddr, cell: u32, state: &str) -> Value {
+    json!({"id": id, "addr": address.to_string(), "zone": "z", "kind": "k", "cell": cell, "state": state,
+        "weight": 0.0, "started_ms": 0})
+}
+
+fn list_text(version: u64, servers: &[Value]) -> Value {
+    json!({"version": version, "full": true, "servers": servers})
+}
+
+impl Platform {
+    pub fn start(servers: Vec<Value>) -> Platform {
+        let list = Arc::new((Mutex::new((1, servers)), Condvar::new()));
+        let shared = list.clone();
+        let server = Server::start(move |request| match request.path.split_once("since=") {
+            _ if request.method == "POST" => Reply::Status(204, ""),
+            None => {
+                let list = shared.0.lock().unwrap();
+                Reply::Body(list_text(list.0, &list.1).to_string().into())
+            }
+            Some((_, rest)) => {
+                let (since, wait) = rest.split_once("&timeout_ms=").unwrap();
+                let (since, wait) = (since.parse::<u64>().unwrap(), wait.parse().unwrap());
+                let list = shared.0.lock().unwrap();
+                let wait = Duration::from_millis(wait);
+                let (list, _) = shared.1.wait_timeout_while(list, wait, |l| l.0 <= since).unwrap();
+                let answer = match list.0 > since {
+                    true => list_text(list.0, &list.1),
+                    false => json!({"version": list.0, "full": false, "servers": []}),
+                };
+                Reply::Body(answer.to_string().into())
+            }
+        });
+        Platform { server, list }
+    }
+
+    pub fn change(&self, servers: Vec<Value>) {
+        let mut list = self.list.0.lock().unwrap();
+        *list = (list.0 + 1, servers);
+        self.list.1.notify_all();
+    }
+
+    /// The watch that follows a list has been asked for: the list has arrived.
+    pub fn has_told(&self) -> bool {
+        let since = format!("since={}&", self.list.0.lock().unwrap().0);
+        self.server.seen().iter().any(|r| r.path.contains(&since))
+    }
+
+    /// Outcomes by message, in the order in which they were reported.
+    pub fn notices(&self) -> Vec<(String, String)> {
+        let posts = self.server.seen().into_iter().filter(|r| r.method == "POST");
+        let text = posts.map(|r| String::from_utf8(r.body).unwrap()).collect::<String>();
+        let lines = text.lines().map(|l| serde_json::from_str::<Value>(l).unwrap());
+        lines
+            .map(|v| (v["message"].as_str().unwrap().into(), v["outcome"].as_str().unwrap().into()))
+            .collect()
+    }
+
+    pub fn has(&self, id: &str, outcome: &str) -> bool {
+        self.notices().contains(&(id.to_string(), outcome.to_string()))
+    }
+}
+
+/// The forwarder's process with its folders, under an address of its own that it keeps over restarts.
+pub struct Forwarder {
+    pub listen: SocketAddr,
+    pub folder: TempDir,
+    child: Child,
+}
+
+pub fn config(listen: SocketAddr, discovery: SocketAddr, servers: &[Value]) -> Value {
+    json!({
+        "name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
+        "known": list_text(1, servers),
+        "settings": {
+            "balancers": 1,
+            "categories": [
+                {"name": "update", "aim": 3000000, "deadline": 24000000, "effect": "by_key", "group": "all",
+                    "late_value": 0.5, "one_at_a_time": true, "window": 10000000, "worth": 1.0},
+                {"name": "fee", "aim": 3000000, "deadline": 24000000, "effect": "once", "late_value": 0.4,
+                    "worth": 3.0}],
+            "contract": {"cold_from": 0.16, "order_pause": 100000, "ramp_time": 14000000,
+                "stop_sending_within": 2000000, "tip_after": 2000000, "tip_multiple": 2.5},
+            "dcs": ["z"], "machine_types": ["k"], "discovery": "pushed",
+            "family_info": {"batch_by_kind": [1], "own_limits": [false], "slots": 16, "zone_fee": [0.0]},
+            "limits": {"conn_idle": 15000000, "dial_timeout": 1000000, "max_open": 400, "may_cancel": true,
+                "streams_per_conn": 1, "try_limit": 8},
+            "report": {"fields": ["x0", "x1"], "source": "inline"}, "tick": 5000}
+    })
+}
+
+/// A free address that no other test uses: each has a host number of its own.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    let part = std::process::id() as usize % 250;
+    let listener = TcpListener::bind(format!("127.{}.{}.{}:0", 77, part, host)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Forwarder {
+    pub fn start(platform: &Platform) -> Forwarder {
+        Forwarder::start_with(platform, |_| ())
+    }
+
+    pub fn start_with(platform: &Platform, change: impl Fn(&mut Value)) -> Forwarder {
+        let listen = own_address();
+        let folder = tempfile::tempdir().unwrap();
+        let mut config = config(listen, platform.server.address, &platform.list.0.lock().unwrap().1);
+        change(&mut config);
+        std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
+        std::fs::create_dir(folder.path().join("state")).unwrap();
+        let child = Forwarder::spawn(&folder);
+        let forwarder = Forwarder { listen, folder, child };
+        forwarder.is_ready();
+        forwarder
+    }
+
+    fn spawn(folder: &TempDir) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_foldtrack"))
+            .env_clear()
+            .env("BALANCER_CONFIG", folder.path().join("config.json"))
+            .env("BALANCER_STATE", folder.path().join("state"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap()
+    }
+
+    fn is_ready(&self) {
+        let health = "GET /healthz HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n";
+        eventually("the forwarder is ready", || self.exchange(health.as_bytes()).starts_with("HTTP/1.1 200"));
+    }
+
+    pub fn journal(&self) -> PathBuf {
+        self.folder.path().join("state/journal")
+    }
+
+    /// Bytes in the folder that lasts, as the deploy page counts them.
+    pub fn on_disk(&self) -> u64 {
+        let files = std::fs::read_dir(self.folder.path().join("state")).unwrap();
+        files.filter_map(|f| Some(f.ok()?.metadata().ok()?.len().div_ceil(512) * 512)).sum()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    pub fn start_again(&mut self) {
+        self.child = Forwarder::spawn(&self.folder);
+        self.is_ready();
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        eventually("the process ends", || self.child.try_wait().unwrap().is_some());
+        self.child.wait().unwrap()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Sends bytes on a new connection and gives what comes back until it is closed.
+    pub fn exchange(&self, bytes: &[u8]) -> String {
+        let Ok(mut stream) = TcpStream::connect(self.listen) else { return String::new() };
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut answer).map(drop));
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    pub fn connect(&self) -> Kept {
+        let stream = TcpStream::connect(self.listen).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Kept { stream: BufReader::new(stream) }
+    }
+
+    /// Hands a message in and gives the status of the answer.
+    pub fn hand_in(&self, letter: &Letter) -> u16 {
+        let answer = self.exchange(&letter.bytes());
+        answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A connection that a client keeps.
+pub struct Kept {
+    stream: BufReader<TcpStream>,
+}
+
+impl Kept {
+    /// The head of the answer in lower case, or nothing if the connection has ended.
+    pub fn ask(&mut self, path: &str) -> Option<String> {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: f\r\n\r\n");
+        self.stream.get_mut().write_all(request.as_bytes()).ok()?;
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            self.stream.read_line(&mut head).ok().filter(|n| *n > 0)?;
+        }
+        Some(head.to_lowercase())
+    }
+}
+
+/// A message as a client writes it.
+pub struct Letter {
+    pub id: String,
+    pub path: String,
+    pub destination: u32,
+    pub left_ms: u64,
+    pub body: Vec<u8>,
+}
+
+pub fn update(id: &str, key: &str) -> Letter {
+    Letter {
+        id: id.into(),
+        path: format!("/update/{key}"),
+        destination: 1,
+        left_ms: 24_000,
+        body: b"x".into(),
+    }
+}
+
+pub fn fee(id: &str) -> Letter {
+    Letter { path: "/fee".into(), ..update(id, "") }
+}
+
+impl Letter {
+    pub fn to(self, destination: u32) -> Letter {
+        Letter { destination, ..self }
+    }
+
+    pub fn within(self, left_ms: u64) -> Letter {
+        Letter { left_ms, ..self }
+    }
+
+    pub fn body(self, body: Vec<u8>) -> Letter {
+        Letter { body, ..self }
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        let Letter { id, path, destination, left_ms, body } = self;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: f\r\nConnection: close\r\nX-Request-Id: {id}\r\nX-Deadline: {left_ms}m\r\n\
+             Idempotency-Key: key-of-{id}\r\nX-Consignee: dest={destination}\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        [head.as_bytes(), body].concat()
+    }
+}
