Hold a key until an earlier message's notice is answered; ask for the list before the first send

At fault were node.rs carry_out() and run(). Ruled out: the module, which can know of neither. A send now waits in the node, with an end of its own if its time runs out, and the start waits up to 250 ms for the list. The watch asks for 5 s at a time, so that one lost with discovery is renewed within the grace of a drain.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -21,7 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 /// Inputs that one round takes in at most.
 const ROUND: usize = 1024;
@@ -32,6 +32,8 @@
 const REPORTS: usize = 8;
 const NOTICES: usize = 64;
 const REPORT_PAUSE: Micros = 100_000;
+/// How long the start waits for the list.
+const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Monotonic microseconds for the module, and their relation to Unix time for the journal.
@@ -91,15 +93,19 @@
         self.body.len() + self.id.len() + self.key.len() + key + 128
     }
 
-    /// The module's name for its key; two keys that share one only wait for each other.
     fn order_key(&self) -> u64 {
-        if self.key.is_empty() {
-            return 0;
-        }
-        let mut hasher = DefaultHasher::new();
-        self.key.hash(&mut hasher);
-        hasher.finish().max(1)
+        order_key(&self.key)
+    }
+}
+
+/// The module's name for a key, 0 for none; two keys that share one only wait for each other.
+fn order_key(key: &str) -> u64 {
+    if key.is_empty() {
+        return 0;
     }
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish().max(1)
 }
 
 /// How far the process is from its end.
@@ -177,10 +183,17 @@
     message: Arc<Message>,
     taken: Taken,
     attempts: u32,
-    /// A send that the module has decided on before the client was told.
+    /// A send that the module has decided on, but that must not go yet: see [`Node::send`].
     waiting: Option<(u32, TargetId, Micros)>,
 }
 
+/// A message that ends by a notice; it is over once that is answered.
+struct Ending {
+    id: String,
+    order_key: u64,
+    notice: Notice,
+}
+
 struct Server {
     address: SocketAddr,
     zone: u32,
@@ -199,7 +212,7 @@
     /// Those of this round whose clients wait for an answer.
     fresh: Vec<u64>,
     /// Ends that the platform has not taken yet, and which of them are to be sent now.
-    notices: BTreeMap<u64, (String, Notice)>,
+    notices: BTreeMap<u64, Ending>,
     unsent: BTreeSet<u64>,
     reports_out: usize,
     reports_from: Micros,
@@ -259,11 +272,16 @@
     for (number, message) in restored {
         node.restore(number, message);
     }
+    tokio::spawn(platform::watch(config.discovery, inputs.clone()));
+    let mut batch = Vec::new();
+    // What the configuration knows may be old: a target that this forwarder was told of as drained, before it
+    // restarted, would get what it held. The agent answers at once, or discovery is down.
+    if let Ok(Some(first)) = timeout(FIRST_LIST, receiver.recv()).await {
+        batch.push(first);
+    }
     let listener = TcpListener::bind(config.listen).await?;
-    let desk = Desk { settings, clock, inputs: inputs.clone(), stage: stage_seen };
+    let desk = Desk { settings, clock, inputs, stage: stage_seen };
     tokio::spawn(clients::serve(listener, Arc::new(desk), config.sockets / 2));
-    tokio::spawn(platform::watch(config.discovery, inputs));
-    let mut batch = Vec::new();
     while !node.has_ended() {
         node.round(&mut batch);
         let wake = node.wake_at();
@@ -282,6 +300,7 @@
         for input in batch.drain(..) {
             self.take_in(input);
         }
+        self.expire_waiting();
         let now = self.clock.now();
         while let Some((_, token)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
             self.timers.pop_first();
@@ -358,7 +377,8 @@
     fn restore(&mut self, number: u64, restored: Restored) {
         let Restored { accepted, attempts, notice } = restored;
         if let Some(notice) = notice {
-            self.notices.insert(number, (accepted.id, notice));
+            let order_key = order_key(&accepted.key);
+            self.notices.insert(number, Ending { id: accepted.id, order_key, notice });
             self.unsent.insert(number);
             return;
         }
@@ -456,13 +476,13 @@
     fn answered(&mut self, number: u64, written: bool) {
         if !written {
             self.record(number, &Record::Over);
+            self.notices.remove(&number);
+            self.unsent.remove(&number);
             return self.withdraw(number);
         }
         let Some(held) = self.messages.get_mut(&number) else { return };
         held.taken = Taken::On;
-        if let Some((attempt, target, until)) = held.waiting.take() {
-            self.start(number, attempt, target, until);
-        }
+        self.send(number);
     }
 
     /// Forgets a message that was not taken on after all.
@@ -478,18 +498,17 @@
         match action {
             Action::Send { id, target, until } => {
                 let Some(held) = self.messages.get_mut(&id) else { return };
-                let attempt = held.attempts;
+                held.waiting = Some((held.attempts, target, until));
                 held.attempts += 1;
-                if matches!(held.taken, Taken::On) {
-                    self.start(id, attempt, target, until);
-                } else {
-                    held.waiting = Some((attempt, target, until));
-                }
+                self.send(id);
             }
             Action::Cancel { id, attempt } => {
                 if let Some(cancel) = self.calls.remove(&(id, attempt)) {
                     // A call that has just ended tells its own end.
                     let _ = cancel.send(());
+                } else if let Some((_, target, _)) = self.messages.get_mut(&id).and_then(|h| h.waiting.take())
+                {
+                    self.outcome(id, attempt, target, Outcome::NotSent, false);
                 }
             }
             Action::Refuse { id, retry_after } => {
@@ -511,6 +530,36 @@
         }
     }
 
+    /// Starts the call that the module has decided on, unless it has to wait: for the client to be told that the
+    /// message is taken on, or for the notice that ends an earlier message of its key, which is over only then.
+    fn send(&mut self, number: u64) {
+        let Some(held) = self.messages.get_mut(&number).filter(|h| matches!(h.taken, Taken::On)) else {
+            return;
+        };
+        let key = held.message.order_key();
+        if key != 0 && self.notices.values().any(|ending| ending.order_key == key) {
+            return;
+        }
+        if let Some((attempt, target, until)) = held.waiting.take() {
+            self.start(number, attempt, target, until);
+        }
+    }
+
+    /// Guards against a notice that the platform is slow to take: a send that waits for it past its time would
+    /// have no outcome, and its message no end.
+    fn expire_waiting(&mut self) {
+        if self.notices.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let late = |held: &mut Held| held.waiting.take_if(|(_, _, until)| *until <= now);
+        let all = self.messages.iter_mut();
+        let expired: Vec<_> = all.filter_map(|(number, held)| Some((*number, late(held)?))).collect();
+        for (number, (attempt, target, _)) in expired {
+            self.outcome(number, attempt, target, Outcome::NotSent, false);
+        }
+    }
+
     /// Starts a call; its record stands in the journal before its first byte goes out.
     fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
@@ -586,7 +635,8 @@
             return;
         }
         self.record(number, &Record::Noticed(notice));
-        self.notices.insert(number, (held.message.id.clone(), notice));
+        let ending = Ending { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
+        self.notices.insert(number, ending);
         self.unsent.insert(number);
     }
 
@@ -596,12 +646,11 @@
             let mut lines = String::new();
             for number in &numbers {
                 self.unsent.remove(number);
-                let line = match &self.notices[number] {
-                    (id, Notice::GivenUp) => json!({"message": id, "outcome": "given_up"}),
-                    (id, Notice::HandedBack { retry_in_ms: 0 }) => {
-                        json!({"message": id, "outcome": "handed_back"})
-                    }
-                    (id, Notice::HandedBack { retry_in_ms }) => {
+                let Ending { id, notice, .. } = &self.notices[number];
+                let line = match notice {
+                    Notice::GivenUp => json!({"message": id, "outcome": "given_up"}),
+                    Notice::HandedBack { retry_in_ms: 0 } => json!({"message": id, "outcome": "handed_back"}),
+                    Notice::HandedBack { retry_in_ms } => {
                         json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
                     }
                 };
@@ -616,8 +665,11 @@
         self.reports_out -= 1;
         if status == Some(StatusCode::NO_CONTENT) {
             for number in numbers {
-                self.notices.remove(&number);
                 self.record(number, &Record::Over);
+                let key = self.notices.remove(&number).map_or(0, |ended| ended.order_key);
+                let next = |h: &Held| key != 0 && h.waiting.is_some() && h.message.order_key() == key;
+                let waiting = self.messages.iter().find(|(_, h)| next(h)).map(|(number, _)| *number);
+                waiting.into_iter().for_each(|next| self.send(next));
             }
             return;
         }
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may stay without news, and how much later its answer may come.
-const WATCH: Duration = Duration::from_secs(10);
-const WATCH_LATE: Duration = Duration::from_secs(2);
+const WATCH: Duration = Duration::from_secs(5);
+const WATCH_LATE: Duration = Duration::from_secs(1);
 /// Pauses after a failure: doubled each time, from the first to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -384,6 +384,44 @@
     assert!(platform.notices().iter().all(|n| n == &("m1".to_string(), "given_up".to_string())));
 }
 
+/// A message that ends by a notice is over when that is answered: the next of its key went out before.
+#[test]
+fn a_key_waits_for_the_notice_of_an_earlier_message_over_a_restart_too() {
+    let (target, platform, mut forwarder) = one_target(|_| Reply::Status(504, ""));
+    platform.server.behave(|r| if r.method == "POST" { Reply::Status(503, "") } else { Reply::Silence });
+    assert_eq!(forwarder.hand_in(&update("m1", "k").within(700)), 202);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    assert_eq!(forwarder.hand_in(&update("m3", "k").within(1_400)), 202);
+    assert_eq!(forwarder.hand_in(&update("other", "l")), 202);
+    eventually("what waits past its time has its end too", || platform.has("m3", "handed_back"));
+    eventually("the notice is tried", || platform.notices().iter().filter(|n| n.0 == "m1").count() >= 3);
+    target.behave(|_| OK);
+    forwarder.kill();
+    forwarder.start_again();
+    eventually("other keys go on", || target.ids().contains(&"other".to_string()));
+    eventually("the notice is tried", || platform.notices().iter().filter(|n| n.0 == "m1").count() >= 8);
+    assert!(!target.ids().contains(&"m2".to_string()), "sent though m1 is not over");
+    platform.server.behave(|r| if r.method == "POST" { Reply::Status(204, "") } else { Reply::Silence });
+    eventually("the next of the key", || target.ids().contains(&"m2".to_string()));
+}
+
+/// A drain that was told before a restart holds after it, though the configuration still lists the target.
+#[test]
+fn a_restart_asks_for_the_list_before_it_sends() {
+    let (old, new) = (Server::start(|_| Reply::Silence), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let mut forwarder = Forwarder::start(&platform);
+    for id in ["m1", "m2"] {
+        assert_eq!(forwarder.hand_in(&update(id, "k")), 202);
+    }
+    eventually("the call", || old.ids() == ["m1"]);
+    forwarder.kill();
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    forwarder.start_again();
+    eventually("the calls", || new.ids() == ["m1", "m2"]);
+    assert_eq!(old.ids(), ["m1"]);
+}
+
 /// The answer to an attempt that was given up comes on a connection that nothing else uses.
 #[test]
 fn a_late_answer_reaches_no_later_attempt() {
