Pass over a list line that cannot be read; test running out of descriptors

One odd line made serde reject the whole list, drains in it too (platform.rs, ServerList): lines are now read one by one. Running out of descriptors was checked and is survived as it is: accepting pauses and goes on; a test keeps it so.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -6,7 +6,8 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{sleep, timeout, Instant};
@@ -28,10 +29,20 @@
     pub version: u64,
     #[serde(default)]
     pub full: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     pub servers: Vec<ServerLine>,
 }
 
+/// Guards the rest of a list, drains among it, against a line that cannot be read.
+fn readable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerLine>, D::Error> {
+    let lines = Vec::<Value>::deserialize(deserializer)?;
+    let read = |line: Value| {
+        let text = line.to_string();
+        serde_json::from_value(line).inspect_err(|e| eprintln!("discovery: {text} is passed over: {e}")).ok()
+    };
+    Ok(lines.into_iter().filter_map(read).collect())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct ServerLine {
     pub id: String,
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -437,6 +437,31 @@
     assert_ne!(seen[0].connection, seen[1].connection);
 }
 
+#[test]
+fn a_line_of_the_list_that_cannot_be_read_hides_no_other() {
+    let target = Server::start(|_| OK);
+    let platform = Platform::start(vec![]);
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    let mut odd = line("s-0", target.address, 1, "active");
+    odd["state"] = "asleep".into();
+    platform.change(vec![odd, line("s-1", target.address, 1, "active")]);
+    eventually("the call", || target.ids() == ["m1"]);
+}
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let (target, platform, mut forwarder) = one_target(|_| OK);
+    forwarder.restrict(32);
+    let crowd: Vec<_> = (0..60).map(|_| forwarder.connect()).collect();
+    sleep(MS(100));
+    assert!(forwarder.is_running());
+    drop(crowd);
+    eventually("it serves again", || forwarder.hand_in(&update("m1", "k")) == 202);
+    eventually("the call", || target.ids() == ["m1"]);
+    assert!(platform.notices().is_empty());
+}
+
 #[test]
 fn what_it_cannot_start_with_is_said_in_a_line() {
     let folder = tempfile::tempdir().unwrap();
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -279,8 +279,21 @@
         forwarder
     }
 
+    /// Starts it again with so many descriptors at most.
+    pub fn restrict(&mut self, descriptors: u32) {
+        self.kill();
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_foldtrack"))]);
+        self.child = Forwarder::spawn_by(shell, &self.folder);
+        self.is_ready();
+    }
+
     fn spawn(folder: &TempDir) -> Child {
-        Command::new(env!("CARGO_BIN_EXE_foldtrack"))
+        Forwarder::spawn_by(Command::new(env!("CARGO_BIN_EXE_foldtrack")), folder)
+    }
+
+    fn spawn_by(mut command: Command, folder: &TempDir) -> Child {
+        command
             .env_clear()
             .env("BALANCER_CONFIG", folder.path().join("config.json"))
             .env("BALANCER_STATE", folder.path().join("state"))
