Let unsafe messages try a lossy destination when nothing has ended there for an aim

Seen in a loopback test: after one failed call to a destination that only unsafe messages go to, no further call was ever made and all were handed back at their time. At fault was best_send() in the module, which kept unsafe messages away while the smoothed share of failures was above its bound; only a served call lowers that, and none could be. Ruled out: the node and the gate, which was open. Now the bound holds while calls have ended there within the last aim.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -488,6 +488,7 @@
         if let Some(r) = report.filter(|r| r.rate > 0.0) {
             l.limit_is(r.rate, self.s.senders, least_aim / SECOND);
         }
+        l.judged = self.now;
         let was = l.gate;
         match outcome {
             Outcome::Ok => {
@@ -721,7 +722,8 @@
                 // or is silent, but make a trial when nothing else has for an aim.
                 let risky = l.may_have_run && (*trial || l.failing > LOSSY);
                 let aim = self.s.classes[*class].aim;
-                if unsafe_now && risky && (self.now < m.born + aim || l.failing > LOSSY) {
+                let lately = l.failing > LOSSY && self.now < l.judged + aim;
+                if unsafe_now && risky && (self.now < m.born + aim || lately) {
                     continue;
                 }
                 let over = fee_of(*lane) - least_fee;
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,8 @@
     pub calls: BTreeMap<u64, Call>,
     pub gate: Gate,
     pub last_ok: Micros,
+    /// The last end of a call.
+    pub judged: Micros,
     /// Start of the trouble since the last answer.
     pub trouble: Option<Micros>,
     /// Refusals in a row.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -251,6 +251,21 @@
     assert_eq!(closes(&seldom), 4, "kept though the next use is far");
 }
 
+/// A call that the end of the process cuts off may have run, which ends an unsafe message.
+#[test]
+fn no_call_is_started_that_the_end_of_the_process_would_cut_off() {
+    let mut field = warmed(settings(vec![class(Effect::Repeatable)]), vec![endpoint(1, 1)], 0);
+    let by = field.now + 3 * S;
+    field.feed(Event::Stopping { by });
+    let early = field.request(0, 1, 0);
+    field.run(2900 * MS, serves(80 * MS));
+    let late = field.request(0, 1, 0);
+    field.run(90 * MS, serves(80 * MS));
+    assert!(field.mail[&early].served);
+    assert!(field.mail[&late].sent.is_empty());
+    field.kept();
+}
+
 #[test]
 fn odd_events_are_ignored() {
     let mut field = Field::new(settings(vec![class(Effect::Keyed)]), vec![endpoint(1, 1)]);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -422,6 +422,18 @@
     assert_eq!(old.ids(), ["m1"]);
 }
 
+/// One failure used to end all calls to a destination that only unsafe messages go to: they kept away from it
+/// until another had been served there.
+#[test]
+fn after_a_failure_unsafe_messages_alone_try_a_destination_again() {
+    let (target, platform, forwarder) = one_target(|_| Reply::Status(500, ""));
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the notice", || platform.has("m1", "given_up"));
+    target.behave(|_| OK);
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("the call", || target.ids() == ["m1", "m2"]);
+}
+
 /// The answer to an attempt that was given up comes on a connection that nothing else uses.
 #[test]
 fn a_late_answer_reaches_no_later_attempt() {
