End a message in one place; read what has come before a connection closes

On closing, a request that had come but was not read could be cut off unanswered (clients.rs, connection(): the order of the two branches was left to chance); it is read first.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -76,8 +76,10 @@
         .header_read_timeout(IDLE)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
-    // Errors are the client's: it has gone, or does not speak HTTP.
+    // Errors are the client's: it has gone, or does not speak HTTP. A request that has come is read before the
+    // connection is told to close: it would be cut off unanswered.
     tokio::select! {
+        biased;
         _ = serving.as_mut() => return,
         _ = stage.wait_for(|s| *s == Stage::Closing) => serving.as_mut().graceful_shutdown(),
     }
@@ -112,10 +114,10 @@
             receipt.written = true;
             Ok(plain(StatusCode::ACCEPTED))
         }
-        Ok(Answer::Refused { retry_after }) => {
+        Ok(Answer::Refused { retry_in_ms }) => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-            if retry_after > 0 {
-                let seconds = format!("{:.3}", retry_after as f64 / 1e6);
+            if retry_in_ms > 0 {
+                let seconds = format!("{:.3}", retry_in_ms as f64 / 1e3);
                 response.headers_mut().extend(HeaderValue::try_from(seconds).ok().map(|v| (RETRY_AFTER, v)));
             }
             Ok(response)
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -27,7 +27,7 @@
 const ROUND: usize = 1024;
 /// After SIGTERM: how long connections are still accepted, and by when the process has ended.
 const ACCEPT_ON: Duration = Duration::from_millis(500);
-const END_BY: Duration = Duration::from_millis(3400);
+const END_BY: Duration = Duration::from_millis(3300);
 /// Reports under way at once, notices in one, and the pause after one that failed.
 const REPORTS: usize = 8;
 const NOTICES: usize = 64;
@@ -121,7 +121,7 @@
 /// What a client is told.
 pub(crate) enum Answer {
     TakenOn(Receipt),
-    Refused { retry_after: Micros },
+    Refused { retry_in_ms: u64 },
 }
 
 /// Tells the node, when it is dropped, whether the client's answer has been written.
@@ -427,7 +427,7 @@
     fn hand_in(&mut self, message: Arc<Message>, reply: oneshot::Sender<Answer>) {
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.journal.has_room(message.size()) {
-            let _ = reply.send(Answer::Refused { retry_after: 0 });
+            let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
             return;
         }
         let id = self.next_number;
@@ -462,7 +462,7 @@
             });
             if let Err(error) = self.journal.append(number, &accepted) {
                 eprintln!("journal: a message is refused: {error}");
-                let _ = reply.send(Answer::Refused { retry_after: 0 });
+                let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
                 self.withdraw(number);
                 continue;
             }
@@ -512,14 +512,7 @@
                 }
             }
             Action::Refuse { id, retry_after } => {
-                let Some(held) = self.messages.get_mut(&id) else { return };
-                match std::mem::replace(&mut held.taken, Taken::On) {
-                    Taken::Fresh(reply) => {
-                        let _ = reply.send(Answer::Refused { retry_after });
-                        self.messages.remove(&id);
-                    }
-                    _ => self.end(id, Notice::HandedBack { retry_in_ms: retry_after / 1000 }),
-                }
+                self.end(id, Notice::HandedBack { retry_in_ms: retry_after.div_ceil(1000) })
             }
             Action::Fail { id } => self.end(id, Notice::GivenUp),
             Action::Timer { after, token } => drop(self.timers.insert((self.clock.now() + after, token))),
@@ -627,11 +620,12 @@
         }
     }
 
-    /// Ends a message by a notice.
+    /// Ends a message: in the answer to its client, if that still waits for one, else by a notice.
     fn end(&mut self, number: u64, notice: Notice) {
         let Some(held) = self.messages.remove(&number) else { return };
         if let Taken::Fresh(reply) = held.taken {
-            let _ = reply.send(Answer::Refused { retry_after: 0 });
+            let retry_in_ms = if let Notice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
+            let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
         self.record(number, &Record::Noticed(notice));
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -3,7 +3,7 @@
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -68,6 +68,8 @@
 pub struct Server {
     pub address: SocketAddr,
     seen: Mutex<Vec<Request>>,
+    /// Connections closed after an answer.
+    pub closed: AtomicUsize,
     behaviour: Mutex<Arc<Behaviour>>,
 }
 
@@ -95,6 +97,7 @@
         let server = Arc::new(Server {
             address: listener.local_addr().unwrap(),
             seen: Mutex::default(),
+            closed: AtomicUsize::new(0),
             behaviour: Mutex::new(Arc::new(Box::new(behaviour))),
         });
         let shared = server.clone();
@@ -128,6 +131,8 @@
                 }
                 Reply::OkAndClose => {
                     let _ = stream.write_all(&status(200, "", b""));
+                    let _ = stream.shutdown(Shutdown::Both);
+                    self.closed.fetch_add(1, Ordering::SeqCst);
                     return;
                 }
                 Reply::Silence => {
