Decide a send anew that has waited for a notice

A send held in the node for the notice of an earlier message of its key could go out after a drain or a wait had been told meanwhile (node.rs, send()). Past 50 ms it is given back to the module as not sent, which decides again on what it knows then. Test: a drain told while the platform takes no notice.

--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -32,6 +32,8 @@
 const REPORTS: usize = 8;
 const NOTICES: usize = 64;
 const REPORT_PAUSE: Micros = 100_000;
+/// A send that has waited for longer than this is decided anew.
+const STALE_SEND: Micros = 50_000;
 /// How long the start waits for the list.
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
@@ -179,12 +181,20 @@
     On,
 }
 
+/// A send that the module has decided on.
+struct Waiting {
+    attempt: u32,
+    target: TargetId,
+    until: Micros,
+    decided: Micros,
+}
+
 struct Held {
     message: Arc<Message>,
     taken: Taken,
     attempts: u32,
     /// A send that the module has decided on, but that must not go yet: see [`Node::send`].
-    waiting: Option<(u32, TargetId, Micros)>,
+    waiting: Option<Waiting>,
 }
 
 /// A message that ends by a notice; it is over once that is answered.
@@ -488,7 +498,7 @@
     /// Forgets a message that was not taken on after all.
     fn withdraw(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
-        if let Some((attempt, target, _)) = held.waiting {
+        if let Some(Waiting { attempt, target, .. }) = held.waiting {
             self.outcome(number, attempt, target, Outcome::NotSent, true);
         }
         self.handle(Event::Lapsed { id: number });
@@ -498,7 +508,8 @@
         match action {
             Action::Send { id, target, until } => {
                 let Some(held) = self.messages.get_mut(&id) else { return };
-                held.waiting = Some((held.attempts, target, until));
+                let (attempt, decided) = (held.attempts, self.clock.now());
+                held.waiting = Some(Waiting { attempt, target, until, decided });
                 held.attempts += 1;
                 self.send(id);
             }
@@ -506,7 +517,8 @@
                 if let Some(cancel) = self.calls.remove(&(id, attempt)) {
                     // A call that has just ended tells its own end.
                     let _ = cancel.send(());
-                } else if let Some((_, target, _)) = self.messages.get_mut(&id).and_then(|h| h.waiting.take())
+                } else if let Some(Waiting { target, .. }) =
+                    self.messages.get_mut(&id).and_then(|h| h.waiting.take())
                 {
                     self.outcome(id, attempt, target, Outcome::NotSent, false);
                 }
@@ -533,9 +545,12 @@
         if key != 0 && self.notices.values().any(|ending| ending.order_key == key) {
             return;
         }
-        if let Some((attempt, target, until)) = held.waiting.take() {
-            self.start(number, attempt, target, until);
+        let Some(Waiting { attempt, target, until, decided }) = held.waiting.take() else { return };
+        // What was decided long ago may go against a drain or a wait told since: the module decides anew.
+        if self.clock.now() > decided + STALE_SEND {
+            return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
+        self.start(number, attempt, target, until);
     }
 
     /// Guards against a notice that the platform is slow to take: a send that waits for it past its time would
@@ -545,10 +560,10 @@
             return;
         }
         let now = self.clock.now();
-        let late = |held: &mut Held| held.waiting.take_if(|(_, _, until)| *until <= now);
+        let late = |held: &mut Held| held.waiting.take_if(|w| w.until <= now);
         let all = self.messages.iter_mut();
         let expired: Vec<_> = all.filter_map(|(number, held)| Some((*number, late(held)?))).collect();
-        for (number, (attempt, target, _)) in expired {
+        for (number, Waiting { attempt, target, .. }) in expired {
             self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
     }
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -408,6 +408,24 @@
     eventually("the next of the key", || target.ids().contains(&"m3".to_string()));
 }
 
+/// A send that waits for a notice is decided anew after it: what was told meanwhile holds for it too.
+#[test]
+fn a_send_that_has_waited_goes_by_the_list_of_its_own_moment() {
+    let (old, new) = (Server::start(|_| Reply::Status(504, "")), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    assert_eq!(forwarder.hand_in(&update("m1", "k").within(700)), 202);
+    eventually("the list is told", || platform.has_told());
+    platform.refuse_notices(true);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    eventually("the notice is tried", || platform.notices().len() >= 3);
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    eventually("the list is told", || platform.has_told());
+    platform.refuse_notices(false);
+    eventually("the call", || new.ids() == ["m2"]);
+    assert!(!old.ids().contains(&"m2".to_string()));
+}
+
 /// A drain that was told before a restart holds after it, though the configuration still lists the target.
 #[test]
 fn a_restart_asks_for_the_list_before_it_sends() {
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -164,6 +164,7 @@
 pub struct Platform {
     pub server: Arc<Server>,
     list: Arc<List>,
+    refuses: Arc<AtomicBool>,
 }
 
 pub fn line(id: &str, address: SocketAddr, cell: u32, state: &str) -> Value {
@@ -178,8 +179,10 @@
 impl Platform {
     pub fn start(servers: Vec<Value>) -> Platform {
         let list = Arc::new((Mutex::new((1, servers)), Condvar::new()));
-        let shared = list.clone();
+        let (shared, refuses) = (list.clone(), Arc::new(AtomicBool::new(false)));
+        let refused = refuses.clone();
         let server = Server::start(move |request| match request.path.split_once("since=") {
+            _ if request.method == "POST" && refused.load(Ordering::SeqCst) => Reply::Status(503, ""),
             _ if request.method == "POST" => Reply::Status(204, ""),
             None => {
                 let list = shared.0.lock().unwrap();
@@ -198,7 +201,11 @@
                 Reply::Body(answer.to_string().into())
             }
         });
-        Platform { server, list }
+        Platform { server, list, refuses }
+    }
+
+    pub fn refuse_notices(&self, refuse: bool) {
+        self.refuses.store(refuse, Ordering::SeqCst);
     }
 
     pub fn change(&self, servers: Vec<Value>) {
