Go over to another discovery at SIGHUP

Cause: nothing caught SIGHUP, so the process ended with 129 at the first new configuration (main.rs, run()). The watch and the reports also held the address that they were started with (platform.rs), and the module passes over a list whose version is lower than the last (brain.rs, list()), as that of a new discovery is.

Now the file is read again, a few times where it is half written; the watch and what is being reported are dropped at once and begin anew at the new address; lists are numbered as they are taken in, and one that the old address told late is passed over. A report that is not answered goes again after 250 ms, not 2 s: a notice may be 300 ms late at most.

Checked: the environment keeps the first address while the file moves on, so the file has to win.

Both tests fail on the program before.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -5,10 +5,11 @@
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 #[derive(Debug)]
 pub(crate) struct Config {
+    pub path: PathBuf,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub state: PathBuf,
@@ -41,6 +42,17 @@
     env::var(name).map_err(|e| format!("{name}: {e}"))
 }
 
+fn read(path: &Path) -> Result<ConfigFile, String> {
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let text = std::fs::read(path).map_err(|e| told(&e))?;
+    serde_json::from_slice(&text).map_err(|e| told(&e))
+}
+
+/// Where discovery is by the file as it stands now. The rest of a new file counts from the next start on.
+pub(crate) fn discovery(path: &Path) -> Result<SocketAddr, String> {
+    Ok(read(path)?.discovery)
+}
+
 /// An address from the environment, where it is set, else the one from the file.
 fn address(name: &str, from_file: SocketAddr) -> Result<SocketAddr, String> {
     match env::var(name) {
@@ -52,8 +64,7 @@
 impl Config {
     pub fn load() -> Result<Config, String> {
         let path = variable("BALANCER_CONFIG")?;
-        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        let file: ConfigFile = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        let file = read(Path::new(&path))?;
         let disk_bytes = file.limits.disk_mb * 1e6;
         if !(disk_bytes.is_finite() && disk_bytes > 0.0) {
             return Err(format!("{path}: limits.disk_mb is no room"));
@@ -71,6 +82,7 @@
             disk_bytes: disk_bytes as u64,
             known: file.known,
             settings: file.settings,
+            path: PathBuf::from(path),
         })
     }
 }
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -11,12 +11,39 @@
 
 use config::Config;
 use node::Input;
+use std::path::PathBuf;
 use std::process::ExitCode;
-use tokio::signal::unix::{signal, SignalKind};
+use std::time::Duration;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::time::sleep;
+
+/// A configuration that cannot be read may be half written: it is read again so often, after such a pause.
+const TRIES: u32 = 5;
+const TRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Goes over to the discovery that the configuration names, each time that SIGHUP says that it is new.
+async fn reload(mut hangup: Signal, path: PathBuf, inputs: node::Inputs) {
+    while hangup.recv().await.is_some() {
+        let mut read = config::discovery(&path);
+        for _ in 1..TRIES {
+            if read.is_err() {
+                sleep(TRY_PAUSE).await;
+                read = config::discovery(&path);
+            }
+        }
+        match read {
+            Ok(address) => inputs.send(Input::Discovery(address)),
+            Err(error) => eprintln!("SIGHUP: discovery stays where it is: {error}"),
+        }
+    }
+}
 
 async fn run(config: Config) -> Result<(), String> {
     let (inputs, receiver) = node::channel();
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let signals = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let hangup = signals(SignalKind::hangup())?;
+    let mut terminate = signals(SignalKind::terminate())?;
+    tokio::spawn(reload(hangup, config.path.clone(), inputs.clone()));
     let to_node = inputs.clone();
     tokio::spawn(async move {
         while terminate.recv().await.is_some() {
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -150,12 +150,18 @@
         written: bool,
     },
     CallEnded(CallEnd),
-    List(ServerList),
+    List {
+        list: ServerList,
+        from: SocketAddr,
+    },
     /// Notices were answered with this status, or not at all.
     Reported {
         numbers: Vec<u64>,
         status: Option<StatusCode>,
+        to: SocketAddr,
     },
+    /// Discovery is there from now on.
+    Discovery(SocketAddr),
     Terminate,
 }
 
@@ -215,7 +221,9 @@
     settings: Arc<Parsed>,
     journal: Journal,
     inputs: Inputs,
-    discovery: SocketAddr,
+    discovery: watch::Sender<SocketAddr>,
+    /// Lists taken in. Their own versions begin anew where discovery moves.
+    lists: u32,
     next_number: u64,
     /// What is taken on, or may be, by number in the order of arrival.
     messages: BTreeMap<u64, Held>,
@@ -260,7 +268,8 @@
         settings: settings.clone(),
         journal,
         inputs: inputs.clone(),
-        discovery: config.discovery,
+        discovery: watch::Sender::new(config.discovery),
+        lists: 0,
         next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
         messages: BTreeMap::new(),
         fresh: Vec::new(),
@@ -282,7 +291,7 @@
     for (number, message) in restored {
         node.restore(number, message);
     }
-    tokio::spawn(platform::watch(config.discovery, inputs.clone()));
+    tokio::spawn(platform::watch(node.discovery.subscribe(), inputs.clone()));
     let mut batch = Vec::new();
     // What the configuration knows may be old: a target that this forwarder was told of as drained, before it
     // restarted, would get what it held. The agent answers at once, or discovery is down.
@@ -338,11 +347,17 @@
             Input::HandIn { message, reply } => self.hand_in(message, reply),
             Input::Answered { number, written } => self.answered(number, written),
             Input::CallEnded(end) => self.call_ended(end),
-            Input::List(list) => {
+            // What the old address has told late does not stand against the new one.
+            Input::List { from, .. } if from != *self.discovery.borrow() => {}
+            Input::List { list, .. } => {
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
                 self.list(list, kind);
             }
-            Input::Reported { numbers, status } => self.reported(numbers, status),
+            Input::Reported { numbers, status, to } => self.reported(numbers, status, to),
+            Input::Discovery(address) => {
+                self.discovery.send_replace(address);
+                self.reports_from = 0;
+            }
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
@@ -379,8 +394,8 @@
                 rate: line.weight,
             });
         }
-        let version = u32::try_from(list.version).unwrap_or(u32::MAX);
-        self.handle(Event::List { kind, version, endpoints });
+        self.lists += 1;
+        self.handle(Event::List { kind, version: self.lists, endpoints });
     }
 
     /// Takes over what the journal holds of a message.
@@ -666,11 +681,11 @@
                 lines.push_str(&format!("{line}\n"));
             }
             self.reports_out += 1;
-            tokio::spawn(platform::report(self.discovery, lines, numbers, self.inputs.clone()));
+            tokio::spawn(platform::report(self.discovery.subscribe(), lines, numbers, self.inputs.clone()));
         }
     }
 
-    fn reported(&mut self, numbers: Vec<u64>, status: Option<StatusCode>) {
+    fn reported(&mut self, numbers: Vec<u64>, status: Option<StatusCode>, to: SocketAddr) {
         self.reports_out -= 1;
         if status == Some(StatusCode::NO_CONTENT) {
             for number in numbers {
@@ -682,8 +697,11 @@
             }
             return;
         }
-        eprintln!("notices were not taken: {status:?}");
-        self.reports_from = self.clock.now() + REPORT_PAUSE;
+        // Where discovery has moved meanwhile, they go to the new address at once.
+        if to == *self.discovery.borrow() {
+            eprintln!("notices were not taken: {status:?}");
+            self.reports_from = self.clock.now() + REPORT_PAUSE;
+        }
         self.unsent.extend(numbers);
     }
 
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -10,19 +10,22 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch may stay without news, and how much later its answer may come.
 const WATCH: Duration = Duration::from_secs(5);
 const WATCH_LATE: Duration = Duration::from_secs(1);
+const LIST_WAIT: Duration = Duration::from_secs(1);
 /// Pauses after a failure: doubled each time, from the first to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
-/// A report without an answer for so long goes again on a new connection.
-const REPORT_WAIT: Duration = Duration::from_secs(2);
+/// A report without an answer for so long goes again on a new connection. The agent answers at once, and a
+/// second copy of a notice does no harm; a late one breaks a rule.
+const REPORT_WAIT: Duration = Duration::from_millis(250);
 
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct ServerList {
@@ -85,18 +88,33 @@
 }
 
 /// Watches the list for as long as the process runs.
-pub(crate) async fn watch(address: SocketAddr, inputs: Inputs) {
+pub(crate) async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
+    loop {
+        let address = *discovery.borrow_and_update();
+        // A watch that hangs on an address which is left would not end by itself for seconds.
+        tokio::select! {
+            biased;
+            moved = discovery.changed() => if moved.is_err() { return },
+            () = watch_at(address, &inputs) => {}
+        }
+    }
+}
+
+/// Watches the list at one address, from the whole list on.
+async fn watch_at(address: SocketAddr, inputs: &Inputs) {
     let mut connection = None;
     let mut version: Option<u64> = None;
     let mut pause = FIRST_PAUSE;
     loop {
-        let path = match version {
-            Some(v) => format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()),
-            None => "/v1/servers".to_string(),
+        let (path, wait) = match version {
+            Some(v) => {
+                (format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()), WATCH + WATCH_LATE)
+            }
+            None => ("/v1/servers".to_string(), LIST_WAIT),
         };
         let asked = Instant::now();
         let answer = match get(address, &path) {
-            Some(request) => timeout(WATCH + WATCH_LATE, exchange(&mut connection, address, request)).await,
+            Some(request) => timeout(wait, exchange(&mut connection, address, request)).await,
             None => Ok(None),
         };
         let Ok(Some((status, body))) = answer else {
@@ -112,7 +130,7 @@
                 let empty = !list.full && list.servers.is_empty();
                 version = Some(list.version);
                 if !empty {
-                    inputs.send(Input::List(list));
+                    inputs.send(Input::List { list, from: address });
                 } else if asked.elapsed() < EMPTY_PAUSE {
                     sleep(EMPTY_PAUSE).await;
                 }
@@ -132,19 +150,26 @@
 }
 
 /// Sends notices, one JSON object a line, and tells whether they were taken, or cannot be read.
-pub(crate) async fn report(address: SocketAddr, lines: String, numbers: Vec<u64>, inputs: Inputs) {
+pub(crate) async fn report(
+    mut discovery: watch::Receiver<SocketAddr>, lines: String, numbers: Vec<u64>, inputs: Inputs,
+) {
+    let to = *discovery.borrow_and_update();
+    let status = tokio::select! {
+        biased;
+        status = post(to, lines) => status,
+        // What the old address has not answered goes to the new one: it may never answer.
+        _ = discovery.changed() => None,
+    };
+    inputs.send(Input::Reported { numbers, status, to });
+}
+
+async fn post(address: SocketAddr, lines: String) -> Option<StatusCode> {
     let request = Request::builder()
         .method(Method::POST)
         .uri("/reports")
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(lines)));
-    let status = match request {
-        Ok(request) => match timeout(REPORT_WAIT, exchange(&mut None, address, request)).await {
-            Ok(Some((status, _))) => Some(status),
-            _ => None,
-        },
-        Err(_) => None,
-    };
-    inputs.send(Input::Reported { numbers, status });
+    let answer = timeout(REPORT_WAIT, exchange(&mut None, address, request.ok()?)).await;
+    answer.ok().flatten().map(|(status, _)| status)
 }
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -470,6 +470,59 @@
     assert_ne!(seen[0].connection, seen[1].connection);
 }
 
+/// SIGHUP used to end the process. The old address holds its watch open without an answer, and so it does with
+/// the notice that it has: neither is waited for.
+#[test]
+fn sighup_moves_the_watch_and_the_notices_to_the_discovery_of_the_file() {
+    let (old, new) = (Server::start(|_| Reply::Status(500, "")), Server::start(|_| OK));
+    let first = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    first.change(vec![line("s-1", old.address, 1, "active")]);
+    let mut forwarder = Forwarder::start(&first);
+    eventually("the list is told", || first.has_told());
+    first.server.behave(|_| Reply::Silence);
+    assert_eq!(forwarder.hand_in(&fee("m1")), 202);
+    eventually("the notice is tried", || first.has("m1", "given_up"));
+    // Its versions begin anew.
+    let second = Platform::start(vec![line("s-2", new.address, 1, "active")]);
+    forwarder.move_to(&second);
+    let start = Instant::now();
+    eventually("the list and the notice", || second.has_told() && second.has("m1", "given_up"));
+    // Far less than a watch that hangs, though wide for slow machines.
+    assert!(start.elapsed() < MS(3_000), "took {:?}", start.elapsed());
+    assert_eq!(forwarder.hand_in(&fee("m2")), 202);
+    eventually("the call", || new.ids() == ["m2"]);
+    // Again and again, the last counts.
+    let third = Platform::start(vec![line("s-3", old.address, 1, "active")]);
+    for platform in [&first, &second, &third] {
+        forwarder.move_to(platform);
+    }
+    eventually("the list", || third.has_told());
+    assert_eq!(forwarder.hand_in(&fee("m3")), 202);
+    eventually("the notice", || third.has("m3", "given_up"));
+    forwarder.signal("HUP");
+    forwarder.signal("TERM");
+    forwarder.signal("HUP");
+    assert!(forwarder.wait().success());
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_leaves_discovery_where_it_is() {
+    let (target, platform, mut forwarder) = one_target(|_| OK);
+    let path = forwarder.folder.path().join("config.json");
+    for text in ["{", "{\"discovery\":\"nowhere\"}"] {
+        fs::write(&path, text).unwrap();
+        forwarder.signal("HUP");
+        sleep(MS(400));
+    }
+    platform.change(vec![line("s-2", target.address, 2, "active")]);
+    eventually("the watch goes on", || platform.has_told());
+    fs::remove_file(&path).unwrap();
+    forwarder.signal("HUP");
+    assert_eq!(forwarder.hand_in(&update("m1", "k").to(2)), 202);
+    eventually("the call", || target.ids() == ["m1"]);
+    assert!(forwarder.is_running());
+}
+
 #[test]
 fn a_line_of_the_list_that_cannot_be_read_hides_no_other() {
     let target = Server::start(|_| OK);
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -305,8 +305,11 @@
     }
 
     fn spawn_by(mut command: Command, folder: &TempDir) -> Child {
+        let config = std::fs::read(folder.path().join("config.json")).unwrap();
+        let config: Value = serde_json::from_slice(&config).unwrap();
         command
             .env_clear()
+            .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
             .env("BALANCER_CONFIG", folder.path().join("config.json"))
             .env("BALANCER_STATE", folder.path().join("state"))
             .stderr(Stdio::inherit())
@@ -329,6 +332,15 @@
         files.filter_map(|f| Some(f.ok()?.metadata().ok()?.len().div_ceil(512) * 512)).sum()
     }
 
+    /// Replaces the configuration by one that names this platform, and says so.
+    pub fn move_to(&self, platform: &Platform) {
+        let path = self.folder.path().join("config.json");
+        let mut config: Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        config["discovery"] = platform.server.address.to_string().into();
+        std::fs::write(path, config.to_string()).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
