Make room among clients, turn away what is wrong, forget what has gone

Places now go to whoever has a request open; heads and bodies end within 2 and 0.8 s. - hyper drops Content-Length beside Transfer-Encoding (seen in its parser), so the service can't tell: the heads are looked at below it (streams.rs). - An id that was handed in a second time became a message of its own: 'sent on after its final answer'. Ids are remembered for two deadlines (table.rs). - Repeated headers, deadlines beyond the class, unknown destinations and overlong names were taken on. - Tables of targets only grew, in the node, the module and its lanes; a number stood for an id wherever it moved. Both forget; a number stands for an id at one address for one destination.

The new tests fail on the program before.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -1,29 +1,38 @@
 //! The HTTP server that clients hand their messages in to.
 
 use crate::node::{Answer, Clock, Input, Inputs, Message, Stage};
+use crate::streams::{HeadScan, Scanned};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
 use hatchline::{Effect, Micros};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::sync::{oneshot, watch, Notify};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout, Instant};
 
 const LONGEST_BODY: usize = 64 * 1024;
-/// Bytes that a connection buffers at most.
-const BUFFER: usize = 64 * 1024;
-/// A client that does not finish its request within this span has gone; so long may a connection stand idle.
-const BODY_WAIT: Duration = Duration::from_secs(5);
-const IDLE: Duration = Duration::from_secs(60);
+/// Bytes that a connection buffers at most, and so the longest head.
+const BUFFER: usize = 16 * 1024;
+/// Longest name or key of a message.
+const LONGEST_NAME: usize = 256;
+/// A client whose head, or whose body after it, does not end within these spans has gone: clients wait 400 ms
+/// for an answer. So long may a connection stand idle, too.
+const HEAD_WAIT: Duration = Duration::from_secs(2);
+const BODY_WAIT: Duration = Duration::from_millis(800);
+/// A connection that has said nothing for so long is the first to go when places are short.
+const SILENT: Duration = Duration::from_millis(100);
 /// Pause after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -35,54 +44,157 @@
     pub stage: watch::Receiver<Stage>,
 }
 
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// No request has come on it yet.
+    Silent,
+    /// Between two requests.
+    Idle,
+    /// A request is open.
+    Request,
+}
+
+#[derive(Debug)]
+struct Place {
+    doing: Doing,
+    since: Instant,
+    /// Tells the connection to leave unless a request is open.
+    leave: Arc<Notify>,
+}
+
+/// The places for connections. Guards against connections that say nothing or stay for good: where places are
+/// short, those without an open request make room for new ones.
+#[derive(Debug)]
+struct Places {
+    taken: Mutex<BTreeMap<usize, Place>>,
+    most: usize,
+    freed: Notify,
+}
+
+impl Places {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<usize, Place>> {
+        self.taken.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until another connection fits, once one that can go has been told to.
+    async fn room(&self) {
+        loop {
+            let freed = self.freed.notified();
+            {
+                let taken = self.lock();
+                if taken.len() < self.most {
+                    return;
+                }
+                let rank = |p: &Place| match p.doing {
+                    Doing::Silent if p.since.elapsed() > SILENT => Some(0),
+                    Doing::Silent | Doing::Idle => Some(1),
+                    Doing::Request => None,
+                };
+                let can_go = taken.values().filter_map(|p| Some((rank(p)?, p.since, &p.leave)));
+                if let Some((_, _, leave)) = can_go.min_by_key(|(rank, since, _)| (*rank, *since)) {
+                    leave.notify_one();
+                }
+            }
+            freed.await;
+        }
+    }
+
+    fn does(&self, number: usize, doing: Doing) {
+        if let Some(place) = self.lock().get_mut(&number) {
+            (place.doing, place.since) = (doing, Instant::now());
+        }
+        if doing == Doing::Idle {
+            self.freed.notify_one();
+        }
+    }
+
+    fn has_request(&self, number: usize) -> bool {
+        self.lock().get(&number).is_some_and(|p| p.doing == Doing::Request)
+    }
+}
+
+/// A connection's own place, free again when this is dropped.
+struct Seat {
+    places: Arc<Places>,
+    number: usize,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.places.lock().remove(&self.number);
+        self.places.freed.notify_one();
+    }
+}
+
 /// Serves connections, at most `most` at once, until the stage is [`Stage::Closing`].
 pub(crate) async fn serve(listener: TcpListener, desk: Arc<Desk>, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
+    let places = Arc::new(Places { taken: Mutex::default(), most, freed: Notify::new() });
     let mut stage = desk.stage.clone();
-    loop {
+    for number in 0.. {
         let accept = async {
-            let place = places.clone().acquire_owned().await;
-            (place, listener.accept().await)
+            places.room().await;
+            listener.accept().await
         };
         let accepted = tokio::select! {
             accepted = accept => accepted,
             _ = stage.wait_for(|s| *s == Stage::Closing) => return,
         };
         match accepted {
-            (Ok(place), Ok((stream, _))) => {
-                let desk = desk.clone();
-                tokio::spawn(async move {
-                    connection(stream, desk).await;
-                    drop(place);
-                });
+            Ok((stream, _)) => {
+                let leave = Arc::new(Notify::new());
+                let place = Place { doing: Doing::Silent, since: Instant::now(), leave: leave.clone() };
+                places.lock().insert(number, place);
+                let seat = Seat { places: places.clone(), number };
+                tokio::spawn(connection(stream, desk.clone(), seat, leave));
+                // A crowd that connects at once leaves the others their turn.
+                yield_now().await;
             }
-            _ => sleep(ACCEPT_PAUSE).await,
+            Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn connection(stream: TcpStream, desk: Arc<Desk>) {
+async fn connection(stream: TcpStream, desk: Arc<Desk>, seat: Seat, leave: Arc<Notify>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let mut stage = desk.stage.clone();
-    let service = service_fn(|request| {
-        let desk = desk.clone();
-        async move { Ok::<_, Infallible>(answer(request, &desk).await) }
+    let (sound, heads) = (Arc::new(AtomicUsize::new(0)), AtomicUsize::new(0));
+    let scan = HeadScan::new(sound.clone());
+    let service = service_fn(|request: Request<Incoming>| {
+        let sound = heads.fetch_add(1, Ordering::Relaxed) < sound.load(Ordering::Relaxed);
+        let (desk, places, number) = (desk.clone(), seat.places.clone(), seat.number);
+        places.does(number, Doing::Request);
+        async move {
+            let response = answer(request, sound, &desk).await;
+            places.does(number, Doing::Idle);
+            Ok::<_, Infallible>(response)
+        }
     });
     let serving = http1::Builder::new()
         .max_buf_size(BUFFER)
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE)
-        .serve_connection(TokioIo::new(stream), service);
+        .header_read_timeout(HEAD_WAIT)
+        .serve_connection(TokioIo::new(Scanned { stream, scan }), service);
     tokio::pin!(serving);
     // Errors are the client's: it has gone, or does not speak HTTP. A request that has come is read before the
     // connection is told to close: it would be cut off unanswered.
-    tokio::select! {
-        biased;
-        _ = serving.as_mut() => return,
-        _ = stage.wait_for(|s| *s == Stage::Closing) => serving.as_mut().graceful_shutdown(),
+    loop {
+        tokio::select! {
+            biased;
+            _ = serving.as_mut() => return,
+            _ = stage.wait_for(|s| *s == Stage::Closing) => break,
+            () = leave.notified() => {
+                if !seat.places.has_request(seat.number) {
+                    return;
+                }
+                // Another has to go in its stead.
+                seat.places.freed.notify_one();
+            }
+        }
     }
+    serving.as_mut().graceful_shutdown();
     let _ = serving.await;
 }
 
@@ -92,12 +204,16 @@
     response
 }
 
-async fn answer(request: Request<Incoming>, desk: &Desk) -> Response<Full<Bytes>> {
+async fn answer(request: Request<Incoming>, sound: bool, desk: &Desk) -> Response<Full<Bytes>> {
+    // What follows on the connection can't be told apart behind a chunked body; see `streams`.
+    let last = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = match (request.method(), request.uri().path()) {
+        _ if !sound => plain(StatusCode::BAD_REQUEST),
         (&Method::GET, "/healthz") => plain(StatusCode::OK),
         _ => hand_in(request, desk).await.unwrap_or_else(plain),
     };
-    if *desk.stage.borrow() != Stage::Serving {
+    // A client that sends what is wrong does not get to go on at once.
+    if last || response.status().is_client_error() || *desk.stage.borrow() != Stage::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -122,6 +238,8 @@
             }
             Ok(response)
         }
+        Ok(Answer::Known { over: false }) => Ok(plain(StatusCode::ACCEPTED)),
+        Ok(Answer::Known { over: true }) => Err(StatusCode::CONFLICT),
         Err(_) => Err(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
@@ -140,17 +258,23 @@
     let rules = &desk.settings.settings.classes[class];
     let key = if rules.in_order { key.rsplit('/').next().unwrap_or("").to_string() } else { String::new() };
     let header = |name: &str| -> Result<Option<String>, StatusCode> {
-        let Some(value) = request.headers().get(name) else { return Ok(None) };
-        Ok(Some(value.to_str().map_err(|_| BAD)?.trim().to_string()))
+        let mut values = request.headers().get_all(name).iter();
+        let Some(value) = values.next() else { return Ok(None) };
+        // Of two, a target could go by the other one.
+        let value = value.to_str().ok().filter(|v| values.next().is_none() && v.len() <= LONGEST_NAME);
+        Ok(Some(value.ok_or(BAD)?.trim().to_string()))
     };
     let id = header("X-Request-Id")?.filter(|id| !id.is_empty()).ok_or(BAD)?;
-    let left = header("X-Deadline")?.and_then(|t| span(&t)).ok_or(BAD)?;
+    let left = header("X-Deadline")?.and_then(|t| span(&t)).filter(|l| *l <= rules.deadline).ok_or(BAD)?;
     let destination = header("X-Consignee")?.and_then(|t| destination(&t)).ok_or(BAD)?;
     let idempotency_key = header("Idempotency-Key")?;
     if rules.effect == Effect::Keyed && idempotency_key.is_none() {
         return Err(BAD);
     }
     let retry = header("X-Retry")?;
+    if key.len() > LONGEST_NAME {
+        return Err(BAD);
+    }
     if request.body().size_hint().lower() > LONGEST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -15,6 +15,7 @@
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
+    pub memory_bytes: usize,
     pub disk_bytes: u64,
     pub known: ServerList,
     pub settings: Parsed,
@@ -35,9 +36,16 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "least_memory")]
+    memory_mb: f64,
     disk_mb: f64,
 }
 
+/// Where no limit is told, the least that a deployment has.
+fn least_memory() -> f64 {
+    32.0
+}
+
 fn variable(name: &str) -> Result<String, String> {
     env::var(name).map_err(|e| format!("{name}: {e}"))
 }
@@ -79,6 +87,7 @@
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
             sockets: file.limits.sockets,
+            memory_bytes: (file.limits.memory_mb * 1e6) as usize,
             disk_bytes: disk_bytes as u64,
             known: file.known,
             settings: file.settings,
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -7,6 +7,8 @@
 mod journal;
 mod node;
 mod platform;
+mod streams;
+mod table;
 mod targets;
 
 use config::Config;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
 use crate::platform::{self, ServerList, ServerState};
+use crate::table::{Ids, Known, Targets};
 use crate::targets::{self, Call, CallEnd, IdleConnections};
 use bytes::Bytes;
 use hatchline::settings::Parsed;
@@ -12,7 +13,7 @@
 use hyper::StatusCode;
 use serde_json::json;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
@@ -37,6 +38,11 @@
 /// How long the start waits for the list.
 const FIRST_LIST: Duration = Duration::from_millis(250);
 const SWEEP: Duration = Duration::from_secs(1);
+/// Descriptors for all but clients and targets: the runtime's, the journal's, those to the platform, and those
+/// that are closing.
+const OTHER_SOCKETS: usize = 32;
+/// Bytes of the memory limit for each id that is remembered.
+const MEMORY_PER_ID: usize = 1024;
 
 /// Monotonic microseconds for the module, and their relation to Unix time for the journal.
 #[derive(Clone, Copy, Debug)]
@@ -123,7 +129,13 @@
 /// What a client is told.
 pub(crate) enum Answer {
     TakenOn(Receipt),
-    Refused { retry_in_ms: u64 },
+    /// Handed in before: taken on then, or `over` with no more to come.
+    Known {
+        over: bool,
+    },
+    Refused {
+        retry_in_ms: u64,
+    },
 }
 
 /// Tells the node, when it is dropped, whether the client's answer has been written.
@@ -210,11 +222,6 @@
     notice: Notice,
 }
 
-struct Server {
-    address: SocketAddr,
-    zone: u32,
-}
-
 struct Node {
     clock: Clock,
     brain: Brain,
@@ -238,8 +245,9 @@
     calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
     idle: IdleConnections,
     swept: Instant,
-    target_ids: HashMap<String, TargetId>,
-    servers: Vec<Server>,
+    targets: Targets,
+    ids: Ids,
+    most_ids: usize,
     timers: BTreeSet<(Micros, u32)>,
     stage: watch::Sender<Stage>,
     terminated: Option<Instant>,
@@ -261,6 +269,9 @@
     let max_attempts = settings.settings.max_attempts;
     let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts)?;
     let (stage, stage_seen) = watch::channel(Stage::Serving);
+    // Half for clients, half for calls and for what stands idle between them.
+    let share = config.sockets.saturating_sub(OTHER_SOCKETS) / 2;
+    let slots = settings.settings.slots as usize;
     let conn_idle = Duration::from_micros(settings.settings.connection_idle);
     let mut node = Node {
         clock,
@@ -278,10 +289,11 @@
         reports_out: 0,
         reports_from: 0,
         calls: BTreeMap::new(),
-        idle: IdleConnections::new(conn_idle, config.sockets / 4),
+        idle: IdleConnections::new(conn_idle, share.saturating_sub(slots).max(share / 4)),
         swept: Instant::now(),
-        target_ids: HashMap::new(),
-        servers: Vec::new(),
+        targets: Targets::default(),
+        ids: Ids::default(),
+        most_ids: config.memory_bytes / MEMORY_PER_ID,
         timers: BTreeSet::new(),
         stage,
         terminated: None,
@@ -300,7 +312,7 @@
     }
     let listener = TcpListener::bind(config.listen).await?;
     let desk = Desk { settings, clock, inputs, stage: stage_seen };
-    tokio::spawn(clients::serve(listener, Arc::new(desk), config.sockets / 2));
+    tokio::spawn(clients::serve(listener, Arc::new(desk), share.max(1)));
     while !node.has_ended() {
         node.round(&mut batch);
         let wake = node.wake_at();
@@ -335,9 +347,19 @@
         if self.swept.elapsed() > SWEEP {
             self.swept = Instant::now();
             self.idle.sweep();
+            let (now, keep) = (self.clock.now(), self.remember());
+            self.ids.forget(now, self.most_ids);
+            for number in self.targets.forget(now, now - keep) {
+                self.idle.close(number);
+            }
         }
     }
 
+    /// How long what has gone is remembered: no message that knew it is held for longer.
+    fn remember(&self) -> Micros {
+        2 * self.settings.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
+    }
+
     fn handle(&mut self, event: Event) {
         self.brain.handle(self.clock.now(), event, &mut self.actions);
     }
@@ -374,13 +396,17 @@
             names.iter().position(|n| n == name).map_or(u32::MAX, |at| at as u32)
         };
         let mut endpoints = Vec::with_capacity(list.servers.len());
+        let mut named = HashSet::new();
         for line in list.servers {
             let zone = place(&self.settings.zone_names, &line.zone);
-            let target = *self.target_ids.entry(line.id).or_insert_with(|| {
-                self.servers.push(Server { address: line.addr, zone });
-                self.servers.len() as TargetId - 1
-            });
-            self.servers[target as usize] = Server { address: line.addr, zone };
+            let Some((target, replaced)) = self.targets.number(&line, zone) else { continue };
+            named.insert(target);
+            if let Some(target) = replaced {
+                // The same id elsewhere is another target.
+                self.idle.close(target);
+                let (destination, state) = (line.cell, EndpointState::Gone);
+                endpoints.push(Endpoint { target, destination, state, ..Endpoint::default() });
+            }
             endpoints.push(Endpoint {
                 target,
                 destination: line.cell,
@@ -394,6 +420,10 @@
                 rate: line.weight,
             });
         }
+        if kind != ListKind::Delta {
+            self.targets.only(&named);
+        }
+        self.targets.see(self.clock.now());
         self.lists += 1;
         self.handle(Event::List { kind, version: self.lists, endpoints });
     }
@@ -401,8 +431,10 @@
     /// Takes over what the journal holds of a message.
     fn restore(&mut self, number: u64, restored: Restored) {
         let Restored { accepted, attempts, notice } = restored;
+        self.ids.insert(&accepted.id, number, Known::Taken, self.clock.now() + self.remember());
         if let Some(notice) = notice {
             let order_key = order_key(&accepted.key);
+            self.ids.set(&accepted.id, Known::Ended);
             self.notices.insert(number, Ending { id: accepted.id, order_key, notice });
             self.unsent.insert(number);
             return;
@@ -450,6 +482,15 @@
     }
 
     fn hand_in(&mut self, message: Arc<Message>, reply: oneshot::Sender<Answer>) {
+        if let Some(known) = self.ids.look(&message.id) {
+            let _ = reply.send(Answer::Known { over: known != Known::Taken });
+            return;
+        }
+        if !self.targets.knows(message.destination) {
+            // Perhaps its targets are on their way in the list.
+            let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
+            return;
+        }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.journal.has_room(message.size()) {
             let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
@@ -457,6 +498,7 @@
         }
         let id = self.next_number;
         self.next_number += 1;
+        self.ids.insert(&message.id, id, Known::Open, self.clock.now() + self.remember());
         let event = Event::Request {
             id,
             class: message.class as u32,
@@ -501,18 +543,20 @@
     fn answered(&mut self, number: u64, written: bool) {
         if !written {
             self.record(number, &Record::Over);
-            self.notices.remove(&number);
+            self.notices.remove(&number).inspect(|ending| self.ids.remove(&ending.id));
             self.unsent.remove(&number);
             return self.withdraw(number);
         }
         let Some(held) = self.messages.get_mut(&number) else { return };
         held.taken = Taken::On;
+        self.ids.set(&held.message.id, Known::Taken);
         self.send(number);
     }
 
     /// Forgets a message that was not taken on after all.
     fn withdraw(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
+        self.ids.remove(&held.message.id);
         if let Some(Waiting { attempt, target, .. }) = held.waiting {
             self.outcome(number, attempt, target, Outcome::NotSent, true);
         }
@@ -587,10 +631,13 @@
     fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
         let message = held.message.clone();
-        let Server { address, zone } = self.servers[target as usize];
+        let Some((address, zone)) = self.targets.begin_call(target) else {
+            return self.outcome(number, attempt, target, Outcome::NotSent, false);
+        };
         let begun = Record::Begun { at: self.clock.unix(self.clock.now()), zone };
         if let Err(error) = self.journal.append(number, &begun) {
             eprintln!("journal: a call is not made: {error}");
+            self.targets.end_call(target);
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
         let (cancel, cancelled) = oneshot::channel();
@@ -615,7 +662,8 @@
 
     fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
-        if let Some(connection) = end.connection {
+        let listed = self.targets.end_call(end.target);
+        if let Some(connection) = end.connection.filter(|_| listed) {
             self.idle.put(end.target, connection);
         }
         let held = self.messages.contains_key(&end.number);
@@ -654,10 +702,12 @@
     fn end(&mut self, number: u64, notice: Notice) {
         let Some(held) = self.messages.remove(&number) else { return };
         if let Taken::Fresh(reply) = held.taken {
+            self.ids.remove(&held.message.id);
             let retry_in_ms = if let Notice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
             let _ = reply.send(Answer::Refused { retry_in_ms });
             return;
         }
+        self.ids.set(&held.message.id, Known::Ended);
         self.record(number, &Record::Noticed(notice));
         let ending = Ending { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
         self.notices.insert(number, ending);
--- /dev/null
+++ b/src/bin/foldtrack/streams.rs
@@ -0,0 +1,166 @@
+//! The bytes below hyper, for what it does not show: header lines that it drops.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes of a header line that are kept: the names that matter, and any length that can be meant.
+const LINE: usize = 64;
+
+/// How many heads on a connection were sound, one after another. hyper drops `Content-Length` beside
+/// `Transfer-Encoding` and a length that is repeated: a request with both may hide another in its body.
+#[derive(Debug)]
+pub(crate) struct HeadScan {
+    sound: Arc<AtomicUsize>,
+    at: At,
+    line: Vec<u8>,
+    first: bool,
+    framings: u32,
+    length: Option<u64>,
+}
+
+#[derive(Debug)]
+enum At {
+    Head,
+    Body(u64),
+    /// Where the next head begins can't be told: nothing that follows counts as sound.
+    Lost,
+}
+
+impl HeadScan {
+    pub fn new(sound: Arc<AtomicUsize>) -> Self {
+        HeadScan { sound, at: At::Head, line: Vec::new(), first: true, framings: 0, length: Some(0) }
+    }
+
+    fn read(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match self.at {
+                At::Lost => return,
+                At::Body(left) => {
+                    let part = left.min(bytes.len() as u64);
+                    bytes = &bytes[part as usize..];
+                    self.at = if left > part { At::Body(left - part) } else { At::Head };
+                }
+                At::Head => {
+                    let end = bytes.iter().position(|b| *b == b'\n');
+                    let part = &bytes[..end.unwrap_or(bytes.len())];
+                    let room = LINE.saturating_sub(self.line.len());
+                    self.line.extend_from_slice(&part[..part.len().min(room)]);
+                    bytes = &bytes[end.map_or(bytes.len(), |end| end + 1)..];
+                    if end.is_some() {
+                        self.end_line();
+                    }
+                }
+            }
+        }
+    }
+
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        let line = line.trim_ascii();
+        match (line.is_empty(), self.first) {
+            // Empty lines ahead of a request are passed over.
+            (true, true) => {}
+            (false, true) => self.first = false,
+            (true, false) => self.end_head(),
+            (false, false) => {
+                let mut parts = line.splitn(2, |b| *b == b':');
+                let name = parts.next().unwrap_or_default().trim_ascii();
+                let value = parts.next().unwrap_or_default().trim_ascii();
+                if name.eq_ignore_ascii_case(b"content-length") {
+                    let digits = std::str::from_utf8(value).ok().filter(|v| !v.starts_with('+'));
+                    self.framings += 1;
+                    self.length = digits.and_then(|v| v.parse().ok());
+                } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+                    self.framings += 1;
+                    self.length = None;
+                }
+            }
+        }
+    }
+
+    fn end_head(&mut self) {
+        let sound = self.framings < 2;
+        self.sound.fetch_add(usize::from(sound), Ordering::Relaxed);
+        self.at = match self.length.filter(|_| sound) {
+            Some(0) => At::Head,
+            Some(length) => At::Body(length),
+            None => At::Lost,
+        };
+        (self.first, self.framings, self.length) = (true, 0, Some(0));
+    }
+}
+
+/// A client's connection whose heads are looked at on their way to hyper.
+#[derive(Debug)]
+pub(crate) struct Scanned {
+    pub stream: TcpStream,
+    pub scan: HeadScan,
+}
+
+impl AsyncRead for Scanned {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        this.scan.read(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Scanned {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How many of the heads in these bytes count as sound, however they are cut.
+    fn sound(text: &str) -> usize {
+        let count = |step: usize| {
+            let sound = Arc::new(AtomicUsize::new(0));
+            let mut scan = HeadScan::new(sound.clone());
+            text.as_bytes().chunks(step).for_each(|bytes| scan.read(bytes));
+            sound.load(Ordering::Relaxed)
+        };
+        let counts = [1, 2, 7, text.len()].map(count);
+        assert!(counts.iter().all(|n| *n == counts[0]), "{counts:?}");
+        counts[0]
+    }
+
+    #[test]
+    fn heads_are_found_behind_bodies_and_two_framings_are_not_sound() {
+        assert_eq!(sound("\r\nGET / HTTP/1.1\r\nHost: f\r\n\r\n"), 1);
+        let post = "POST /fee HTTP/1.1\r\ncontent-LENGTH: 4\r\n\r\n\n\n\r\n";
+        assert_eq!(sound(&post.repeat(3)), 3);
+        let both = [
+            "Content-Length: 4\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4",
+        ];
+        for framing in both.into_iter().chain(["Content-Length: 4\r\nContent-Length: 4"]) {
+            let odd = format!("POST /fee HTTP/1.1\r\nX: y\r\n{framing}\r\n\r\n0\r\n\r\n{post}");
+            assert_eq!(sound(&odd), 0, "{framing}");
+            assert_eq!(sound(&format!("{post}{odd}")), 1, "{framing}");
+        }
+        // One that is chunked is sound, but the last that can be told.
+        assert_eq!(
+            sound(&format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{post}")),
+            1
+        );
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/table.rs
@@ -0,0 +1,217 @@
+//! What the loop remembers by name: the targets of the list, and the ids of messages that were handed in.
+//! Both forget, so that neither grows with what has gone.
+
+use crate::platform::{ServerLine, ServerState};
+use hatchline::{Micros, TargetId};
+use std::collections::hash_map::RandomState;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::hash::BuildHasher;
+use std::net::SocketAddr;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub address: SocketAddr,
+    pub zone: u32,
+    cell: u32,
+    id: String,
+    gone: bool,
+    /// Calls to it that have no end yet.
+    calls: u32,
+}
+
+/// The targets by number. A number stands for one id at one address for one destination: what was learned of a
+/// target, and its connections, never pass to another. No number is used twice.
+#[derive(Debug, Default)]
+pub(crate) struct Targets {
+    numbers: HashMap<String, TargetId>,
+    servers: BTreeMap<TargetId, Server>,
+    next: TargetId,
+    /// Destinations, and when each was last seen with a target.
+    cells: BTreeMap<u32, Micros>,
+}
+
+impl Targets {
+    /// The number of a line's target, and the number that it takes the place of. None for one that has left
+    /// unknown.
+    pub fn number(&mut self, line: &ServerLine, zone: u32) -> Option<(TargetId, Option<TargetId>)> {
+        let gone = line.state == ServerState::Left;
+        let known = self.numbers.get(&line.id).copied();
+        if let Some(server) = known.and_then(|n| self.servers.get_mut(&n)) {
+            if (server.address, server.cell, server.zone) == (line.addr, line.cell, zone) && !server.gone {
+                server.gone = gone;
+                return Some((known?, None));
+            }
+            server.gone = true;
+        }
+        if gone {
+            return Some((known?, None));
+        }
+        let number = self.next;
+        self.next += 1;
+        self.numbers.insert(line.id.clone(), number);
+        let (address, cell, id) = (line.addr, line.cell, line.id.clone());
+        self.servers.insert(number, Server { address, zone, cell, id, gone: false, calls: 0 });
+        Some((number, known))
+    }
+
+    /// What a full list lacks is gone.
+    pub fn only(&mut self, named: &HashSet<TargetId>) {
+        self.servers
+            .iter_mut()
+            .filter(|(number, _)| !named.contains(number))
+            .for_each(|(_, s)| s.gone = true);
+    }
+
+    /// The destinations that have a target now.
+    pub fn see(&mut self, now: Micros) {
+        for server in self.servers.values().filter(|s| !s.gone) {
+            self.cells.insert(server.cell, now);
+        }
+    }
+
+    /// Whether the destination has, or had lately, a target.
+    pub fn knows(&self, cell: u32) -> bool {
+        self.cells.contains_key(&cell)
+    }
+
+    pub fn begin_call(&mut self, number: TargetId) -> Option<(SocketAddr, u32)> {
+        let server = self.servers.get_mut(&number)?;
+        server.calls += 1;
+        Some((server.address, server.zone))
+    }
+
+    /// A call has its end; tells whether the target may be called again.
+    pub fn end_call(&mut self, number: TargetId) -> bool {
+        let Some(server) = self.servers.get_mut(&number) else { return false };
+        server.calls = server.calls.saturating_sub(1);
+        !server.gone
+    }
+
+    /// Forgets what has left and has no call out, and destinations without a target since `before`; gives the
+    /// numbers of the targets.
+    pub fn forget(&mut self, now: Micros, before: Micros) -> Vec<TargetId> {
+        self.see(now);
+        self.cells.retain(|_, seen| *seen >= before);
+        let over = self.servers.iter().filter(|(_, s)| s.gone && s.calls == 0);
+        let over: Vec<TargetId> = over.map(|(number, _)| *number).collect();
+        for number in &over {
+            let Some(server) = self.servers.remove(number) else { continue };
+            if self.numbers.get(&server.id) == Some(number) {
+                self.numbers.remove(&server.id);
+            }
+        }
+        over
+    }
+}
+
+/// What has become of a message that was handed in before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Known {
+    /// Its client has no answer yet.
+    Open,
+    /// Taken on, and perhaps delivered.
+    Taken,
+    /// Ended by a notice.
+    Ended,
+}
+
+/// The ids of messages that were handed in, for some time after their end: a copy of one that is held, or was
+/// delivered lately, must not be sent again.
+#[derive(Debug, Default)]
+pub(crate) struct Ids {
+    hasher: RandomState,
+    known: HashMap<u64, (u64, Known)>,
+    /// Until when to remember, in the order of arrival.
+    until: VecDeque<(Micros, u64, u64)>,
+}
+
+impl Ids {
+    pub fn look(&self, id: &str) -> Option<Known> {
+        self.known.get(&self.hasher.hash_one(id)).map(|(_, known)| *known)
+    }
+
+    pub fn insert(&mut self, id: &str, number: u64, known: Known, until: Micros) {
+        let hash = self.hasher.hash_one(id);
+        self.known.insert(hash, (number, known));
+        self.until.push_back((until, hash, number));
+    }
+
+    pub fn set(&mut self, id: &str, known: Known) {
+        self.known.entry(self.hasher.hash_one(id)).and_modify(|entry| entry.1 = known);
+    }
+
+    /// The client will hand it in again, or may.
+    pub fn remove(&mut self, id: &str) {
+        self.known.remove(&self.hasher.hash_one(id));
+    }
+
+    /// Forgets what is past its time, and the oldest beyond `most`.
+    pub fn forget(&mut self, now: Micros, most: usize) {
+        while let Some((until, hash, number)) = self.until.front().copied() {
+            if until > now && self.until.len() <= most {
+                break;
+            }
+            self.until.pop_front();
+            if self.known.get(&hash).is_some_and(|entry| entry.0 == number) {
+                self.known.remove(&hash);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(id: &str, port: u16, cell: u32, state: ServerState) -> ServerLine {
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        ServerLine { id: id.into(), addr, zone: String::new(), kind: String::new(), cell, state, weight: 0.0 }
+    }
+
+    #[test]
+    fn a_number_names_one_target_and_is_forgotten_when_no_call_refers_to_it() {
+        let mut targets = Targets::default();
+        let active = |id: &str, port| line(id, port, 1, ServerState::Active);
+        let (first, none) = targets.number(&active("a", 1), 0).unwrap();
+        assert_eq!(none, None);
+        assert_eq!(targets.number(&active("a", 1), 0), Some((first, None)));
+        assert!(targets.begin_call(first).is_some());
+        // The same id at another address takes a number of its own.
+        let (second, replaced) = targets.number(&active("a", 2), 0).unwrap();
+        assert!(second != first && replaced == Some(first));
+        assert!(targets.forget(10, 0).is_empty(), "a call is out");
+        assert!(!targets.end_call(first));
+        assert_eq!(targets.forget(10, 0), [first]);
+        assert_eq!(targets.number(&line("a", 2, 1, ServerState::Left), 0), Some((second, None)));
+        assert_eq!(targets.forget(20, 0), [second]);
+        assert_eq!(targets.number(&line("a", 2, 1, ServerState::Left), 0), None);
+        assert!(targets.knows(1));
+        for n in 0..1000 {
+            let (number, _) = targets.number(&active(&format!("t{n}"), 3), 0).unwrap();
+            assert!(number > second);
+            targets.only(&HashSet::from([number]));
+            targets.forget(30, 0);
+        }
+        assert!(targets.servers.len() == 1 && targets.numbers.len() == 1);
+        targets.only(&HashSet::new());
+        targets.forget(40, 35);
+        assert!(!targets.knows(1) && targets.servers.is_empty() && targets.numbers.is_empty());
+    }
+
+    #[test]
+    fn ids_are_remembered_for_their_time_and_no_more_than_there_is_room_for() {
+        let mut ids = Ids::default();
+        for n in 0..100 {
+            ids.insert(&format!("m{n}"), n, Known::Taken, 1_000 + n);
+        }
+        ids.remove("m3");
+        ids.insert("m3", 200, Known::Open, 5_000);
+        ids.forget(1_050, 1_000);
+        assert_eq!(
+            (ids.look("m49"), ids.look("m51"), ids.look("m3")),
+            (None, Some(Known::Taken), Some(Known::Open))
+        );
+        ids.forget(1_050, 10);
+        assert!(ids.known.len() == 10 && ids.until.len() == 10 && ids.look("m3").is_some());
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -159,7 +159,9 @@
 pub struct Brain {
     s: Settings, now: Micros, out: Vec<Action>, seed: u64,
     messages: BTreeMap<MessageId, Message>, turns: BTreeMap<u64, Turns>,
-    destinations: BTreeMap<DestinationId, Destination>, lanes: Vec<Lane>, targets: BTreeMap<TargetId, Target>,
+    destinations: BTreeMap<DestinationId, Destination>, targets: BTreeMap<TargetId, Target>,
+    /// The places of `spare` are of lanes that were forgotten: nothing names them.
+    lanes: Vec<Lane>, spare: Vec<usize>,
     /// When to look at a message again: its time is up, or its key has rested.
     agenda: BTreeSet<(Micros, MessageId)>,
     upkeep_at: Micros, span: f64, spread: f64, wake_at: Micros, armed: Micros,
@@ -270,9 +272,14 @@
                 let times = AnswerTimes::new();
                 let fee = self.s.zone_fee.get(e.zone as usize).copied().filter(|_| apart).unwrap_or(0.0);
                 let fresh = Lane { kind, fee, times, window: 1.0, budget: RESEND_SAVED, ..Lane::default() };
-                self.lanes.push(Lane { tokens: 1.0, last_ok: self.now, ..fresh });
-                d.lanes.push(self.lanes.len() - 1);
-                self.lanes.len() - 1
+                let fresh = Lane { tokens: 1.0, last_ok: self.now, ..fresh };
+                let place = self.spare.pop().unwrap_or(self.lanes.len());
+                match self.lanes.get_mut(place) {
+                    Some(lane) => *lane = fresh,
+                    None => self.lanes.push(fresh),
+                }
+                d.lanes.push(place);
+                place
             });
             let l = &mut self.lanes[lane];
             if self.s.listed_rate != ListedRate::Unknown && e.rate > 0.0 {
@@ -882,6 +889,42 @@
             }
         }
         self.release();
+        self.forget();
+    }
+
+    /// Forgets endpoints that have gone, so that replacing them all the time does not fill the memory; and routes
+    /// apart and destinations that have none left, once what was learned of them binds nothing: a wait or an
+    /// outage of a destination outlives its endpoints.
+    fn forget(&mut self) {
+        let lanes = &mut self.lanes;
+        self.targets.retain(|id, t| {
+            let l = &mut lanes[t.lane];
+            let keep = t.state != EndpointState::Gone || l.calls.values().any(|c| c.target == *id);
+            l.targets.retain(|other| keep || other != id);
+            keep
+        });
+        let (now, long) = (self.now, self.longest_deadline() as Micros);
+        let (lanes, spare, messages) = (&mut self.lanes, &mut self.spare, &self.messages);
+        self.destinations.retain(|id, d| {
+            let apart = |l: &Lane| self.s.routes_apart.get(l.kind).copied().unwrap_or(false);
+            let quiet = |l: &Lane| {
+                let bound =
+                    l.gate != Gate::Open || l.wait_until > now || l.judged.max(l.last_ok) + long > now;
+                l.targets.is_empty() && l.calls.is_empty() && !bound
+            };
+            let over = d.lanes.iter().all(|l| quiet(&lanes[*l]));
+            let over = over && !messages.values().any(|m| m.destination == *id);
+            d.lanes.retain(|lane| {
+                let l = &mut lanes[*lane];
+                let keep = !(over || apart(l) && quiet(l));
+                if !keep {
+                    *l = Lane::default();
+                    spare.push(*lane);
+                }
+                keep
+            });
+            !over
+        });
     }
 
     /// Takes back slots from calls past all that is usual, whatever leaves them without an end, so that one
--- a/src/brain_tests.rs
+++ b/src/brain_tests.rs
@@ -1,6 +1,7 @@
 //! The estimator against the paper's own figures, and against a slow spell.
 
-use super::AnswerTimes;
+use super::{AnswerTimes, Brain};
+use crate::interface::*;
 
 /// Failed exponential with rate 1, half of the calls never answered, cost of a resend 1: the paper gives
 /// τ* = 1.505 and E = 4.505. Times are scaled by a million.
@@ -57,3 +58,71 @@
     assert!(times.width < width);
     assert!((times.count.iter().sum::<f64>() - 1001.0).abs() < 1e-6);
 }
+
+/// All endpoints are replaced again and again, as routes apart too: what has gone is forgotten once no call
+/// refers to it, and the places of lanes are used again.
+#[test]
+fn endpoints_that_have_gone_are_forgotten() {
+    for apart in [false, true] {
+        let class = Class { aim: 3_000_000, deadline: 12_000_000, worth: 1.0, ..Class::default() };
+        let settings = Settings {
+            senders: 1,
+            slots: 8,
+            max_held: 100,
+            max_attempts: 8,
+            routes_apart: vec![apart],
+            classes: vec![class],
+            ..Settings::default()
+        };
+        let mut brain = Brain::new(0, 1, settings);
+        let (mut now, mut out) = (0, Vec::new());
+        for round in 1..=500 {
+            let endpoint = |destination| Endpoint {
+                target: 3 * round + destination,
+                destination,
+                state: EndpointState::Ready,
+                ..Endpoint::default()
+            };
+            let endpoints = (0..3).map(endpoint).collect();
+            brain.handle(now, Event::List { kind: ListKind::Full, version: round, endpoints }, &mut out);
+            let id = u64::from(round);
+            let event =
+                Event::Request { id, class: 0, destination: 1, order_key: 0, expires: now + 12_000_000 };
+            brain.handle(now, event, &mut out);
+            out.clear();
+            brain.decide(now, &mut out);
+            let target = out.iter().find_map(|a| match a {
+                Action::Send { id: sent, target, .. } if *sent == id => Some(*target),
+                _ => None,
+            });
+            let target = target.unwrap_or_else(|| panic!("round {round}: not sent"));
+            assert_eq!(target, 3 * round + 1);
+            now += 1_000_000;
+            // Its endpoint goes while the call is out; the call's end is still heard.
+            let endpoints =
+                vec![Endpoint { target, destination: 1, state: EndpointState::Gone, ..Endpoint::default() }];
+            brain.handle(now, Event::List { kind: ListKind::Delta, version: round, endpoints }, &mut out);
+            brain.decide(now, &mut out);
+            assert!(brain.targets.contains_key(&target));
+            let (outcome, took) = (Outcome::Ok, 1_000_000);
+            let end =
+                Event::Outcome { id, attempt: 0, target, outcome, took, ended: true, wait: 0, report: None };
+            brain.handle(now, end, &mut out);
+            assert_eq!(brain.calls_out, 0);
+        }
+        now += 1_000_000;
+        brain.decide(now, &mut out);
+        assert!(brain.targets.len() <= 6, "{} targets", brain.targets.len());
+        let named: usize = brain.lanes.iter().map(|l| l.targets.len()).sum();
+        assert_eq!(named, brain.targets.len());
+        // Routes are kept for as long as what was learned of them binds.
+        assert!(brain.lanes.len() <= 3 * 16, "{} lanes", brain.lanes.len());
+        // Destinations that are not listed for long are forgotten too.
+        brain.handle(now, Event::List { kind: ListKind::Full, version: 900, endpoints: vec![] }, &mut out);
+        brain.decide(now + 1_000_000, &mut out);
+        brain.decide(now + 20_000_000, &mut out);
+        brain.decide(now + 21_000_000, &mut out);
+        assert!(brain.destinations.is_empty() && brain.targets.is_empty());
+        assert_eq!(brain.spare.len(), brain.lanes.len());
+    }
+}
