Learn at which idle times connections are dropped; move the notices out

A trace of idle time and outcome (taken out again): of calls on connections idle for 100 ms to 1 s 25 in 100 were reset at once, on new ones and those just used 5. Resets are now counted by idle time against those on new connections; what is clearly worse is not used, and fades.

With it, without a measured gain of their own: the notices are a file of their own with an index by key, as node.rs had grown; sends that wait have one too, so neither is found by scans over all messages; bodies being read are bounded by the memory limit; a lack of own descriptors is no failure of a target.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -18,7 +18,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -42,6 +42,8 @@
     pub clock: Clock,
     pub inputs: Inputs,
     pub stage: watch::Receiver<Stage>,
+    /// Bytes of bodies that may still be read before their messages are handed on.
+    pub bodies: Semaphore,
 }
 
 /// What a connection is doing.
@@ -278,12 +280,17 @@
     if request.body().size_hint().lower() > LONGEST_BODY as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let body = timeout(BODY_WAIT, Limited::new(request.into_body(), LONGEST_BODY).collect()).await;
-    let body = match body.map_err(|_| StatusCode::REQUEST_TIMEOUT)? {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => return Err(BAD),
+    // Guards the memory against a crowd of bodies at once.
+    let length = request.body().size_hint().upper().map_or(LONGEST_BODY, |n| n as usize) as u32;
+    let body = async {
+        let _room = desk.bodies.acquire_many(length).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        match Limited::new(request.into_body(), LONGEST_BODY).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(_) => Err(BAD),
+        }
     };
+    let body = timeout(BODY_WAIT, body).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
     let expires = now.checked_add(left).ok_or(BAD)?;
     Ok(Message { id, class, destination, key, idempotency_key, retry, expires, body })
 }
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod journal;
 mod node;
+mod notices;
 mod platform;
 mod streams;
 mod table;
--- a/src/bin/foldtrack/node.rs
+++ b/src/bin/foldtrack/node.rs
@@ -4,6 +4,7 @@
 use crate::clients::{self, Desk};
 use crate::config::Config;
 use crate::journal::{Accepted, Fate, Journal, Notice, Record, Restored};
+use crate::notices::{Ending, Notices};
 use crate::platform::{self, ServerList, ServerState};
 use crate::table::{Ids, Known, Targets};
 use crate::targets::{self, Call, CallEnd, IdleConnections};
@@ -11,7 +12,6 @@
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId};
 use hyper::StatusCode;
-use serde_json::json;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{Hash, Hasher};
@@ -21,7 +21,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Inputs that one round takes in at most.
@@ -29,10 +29,6 @@
 /// After SIGTERM: how long connections are still accepted, and by when the process has ended.
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 const END_BY: Duration = Duration::from_millis(3300);
-/// Reports under way at once, notices in one, and the pause after one that failed.
-const REPORTS: usize = 8;
-const NOTICES: usize = 64;
-const REPORT_PAUSE: Micros = 100_000;
 /// A send that has waited for longer than this is decided anew.
 const STALE_SEND: Micros = 50_000;
 /// How long the start waits for the list.
@@ -41,6 +37,8 @@
 /// Descriptors for all but clients and targets: the runtime's, the journal's, those to the platform, and those
 /// that are closing.
 const OTHER_SOCKETS: usize = 32;
+/// Part of the memory limit that bodies which are being read may take.
+const BODIES_PART: usize = 4;
 /// Bytes of the memory limit for each id that is remembered.
 const MEMORY_PER_ID: usize = 1024;
 
@@ -215,13 +213,6 @@
     waiting: Option<Waiting>,
 }
 
-/// A message that ends by a notice; it is over once that is answered.
-struct Ending {
-    id: String,
-    order_key: u64,
-    notice: Notice,
-}
-
 struct Node {
     clock: Clock,
     brain: Brain,
@@ -236,11 +227,9 @@
     messages: BTreeMap<u64, Held>,
     /// Those of this round whose clients wait for an answer.
     fresh: Vec<u64>,
-    /// Ends that the platform has not taken yet, and which of them are to be sent now.
-    notices: BTreeMap<u64, Ending>,
-    unsent: BTreeSet<u64>,
-    reports_out: usize,
-    reports_from: Micros,
+    notices: Notices,
+    /// Those whose send has been decided on, but has not gone yet.
+    waiting: BTreeSet<u64>,
     /// By message and attempt: what calls it off.
     calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
     idle: IdleConnections,
@@ -284,10 +273,8 @@
         next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
         messages: BTreeMap::new(),
         fresh: Vec::new(),
-        notices: BTreeMap::new(),
-        unsent: BTreeSet::new(),
-        reports_out: 0,
-        reports_from: 0,
+        notices: Notices::default(),
+        waiting: BTreeSet::new(),
         calls: BTreeMap::new(),
         idle: IdleConnections::new(conn_idle, share.saturating_sub(slots).max(share / 4)),
         swept: Instant::now(),
@@ -311,7 +298,8 @@
         batch.push(first);
     }
     let listener = TcpListener::bind(config.listen).await?;
-    let desk = Desk { settings, clock, inputs, stage: stage_seen };
+    let bodies = Semaphore::new(config.memory_bytes / BODIES_PART);
+    let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies };
     tokio::spawn(clients::serve(listener, Arc::new(desk), share.max(1)));
     while !node.has_ended() {
         node.round(&mut batch);
@@ -378,7 +366,7 @@
             Input::Reported { numbers, status, to } => self.reported(numbers, status, to),
             Input::Discovery(address) => {
                 self.discovery.send_replace(address);
-                self.reports_from = 0;
+                self.notices.moved();
             }
             Input::Terminate => {
                 if self.terminated.is_none() {
@@ -436,7 +424,6 @@
             let order_key = order_key(&accepted.key);
             self.ids.set(&accepted.id, Known::Ended);
             self.notices.insert(number, Ending { id: accepted.id, order_key, notice });
-            self.unsent.insert(number);
             return;
         }
         let class = self.settings.class_names.iter().position(|n| *n == accepted.class);
@@ -543,8 +530,7 @@
     fn answered(&mut self, number: u64, written: bool) {
         if !written {
             self.record(number, &Record::Over);
-            self.notices.remove(&number).inspect(|ending| self.ids.remove(&ending.id));
-            self.unsent.remove(&number);
+            self.notices.remove(number).inspect(|ending| self.ids.remove(&ending.id));
             return self.withdraw(number);
         }
         let Some(held) = self.messages.get_mut(&number) else { return };
@@ -570,6 +556,7 @@
                 let (attempt, decided) = (held.attempts, self.clock.now());
                 held.waiting = Some(Waiting { attempt, target, until, decided });
                 held.attempts += 1;
+                self.waiting.insert(id);
                 self.send(id);
             }
             Action::Cancel { id, attempt } => {
@@ -600,10 +587,10 @@
         let Some(held) = self.messages.get_mut(&number).filter(|h| matches!(h.taken, Taken::On)) else {
             return;
         };
-        let key = held.message.order_key();
-        if key != 0 && self.notices.values().any(|ending| ending.order_key == key) {
+        if self.notices.hold(held.message.order_key()) {
             return;
         }
+        self.waiting.remove(&number);
         let Some(Waiting { attempt, target, until, decided }) = held.waiting.take() else { return };
         // What was decided long ago may go against a drain or a wait told since: the module decides anew.
         if self.clock.now() > decided + STALE_SEND {
@@ -615,13 +602,13 @@
     /// Guards against a notice that the platform is slow to take: a send that waits for it past its time would
     /// have no outcome, and its message no end.
     fn expire_waiting(&mut self) {
-        if self.notices.is_empty() {
-            return;
-        }
         let now = self.clock.now();
-        let late = |held: &mut Held| held.waiting.take_if(|w| w.until <= now);
-        let all = self.messages.iter_mut();
-        let expired: Vec<_> = all.filter_map(|(number, held)| Some((*number, late(held)?))).collect();
+        let mut expired = Vec::new();
+        self.waiting.retain(|number| {
+            let Some(held) = self.messages.get_mut(number) else { return false };
+            expired.extend(held.waiting.take_if(|w| w.until <= now).map(|waiting| (*number, waiting)));
+            held.waiting.is_some()
+        });
         for (number, Waiting { attempt, target, .. }) in expired {
             self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
@@ -663,6 +650,7 @@
 
     fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
+        self.idle.ended(end.idle, end.outcome);
         let listed = self.targets.end_call(end.target);
         if let Some(connection) = end.connection.filter(|_| listed) {
             self.idle.put(end.target, connection);
@@ -712,48 +700,34 @@
         self.record(number, &Record::Noticed(notice));
         let ending = Ending { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
         self.notices.insert(number, ending);
-        self.unsent.insert(number);
     }
 
     fn report_notices(&mut self) {
-        while !self.unsent.is_empty() && self.reports_out < REPORTS && self.clock.now() >= self.reports_from {
-            let numbers: Vec<u64> = self.unsent.iter().copied().take(NOTICES).collect();
-            let mut lines = String::new();
-            for number in &numbers {
-                self.unsent.remove(number);
-                let Ending { id, notice, .. } = &self.notices[number];
-                let line = match notice {
-                    Notice::GivenUp => json!({"message": id, "outcome": "given_up"}),
-                    Notice::HandedBack { retry_in_ms: 0 } => json!({"message": id, "outcome": "handed_back"}),
-                    Notice::HandedBack { retry_in_ms } => {
-                        json!({"message": id, "outcome": "handed_back", "retry_in_ms": retry_in_ms})
-                    }
-                };
-                lines.push_str(&format!("{line}\n"));
-            }
-            self.reports_out += 1;
+        while let Some((numbers, lines)) = self.notices.next(self.clock.now()) {
             tokio::spawn(platform::report(self.discovery.subscribe(), lines, numbers, self.inputs.clone()));
         }
     }
 
     fn reported(&mut self, numbers: Vec<u64>, status: Option<StatusCode>, to: SocketAddr) {
-        self.reports_out -= 1;
-        if status == Some(StatusCode::NO_CONTENT) {
-            for number in numbers {
-                self.record(number, &Record::Over);
-                let key = self.notices.remove(&number).map_or(0, |ended| ended.order_key);
-                let next = |h: &Held| key != 0 && h.waiting.is_some() && h.message.order_key() == key;
-                let waiting = self.messages.iter().find(|(_, h)| next(h)).map(|(number, _)| *number);
-                waiting.into_iter().for_each(|next| self.send(next));
+        self.notices.came_back();
+        if status != Some(StatusCode::NO_CONTENT) {
+            // Where discovery has moved meanwhile, they go to the new address at once.
+            let stays = to == *self.discovery.borrow();
+            if stays {
+                eprintln!("notices were not taken: {status:?}");
             }
-            return;
+            return self.notices.again(numbers, self.clock.now(), stays);
+        }
+        let mut keys = HashSet::new();
+        for number in numbers {
+            self.record(number, &Record::Over);
+            keys.extend(self.notices.remove(number).map(|ended| ended.order_key).filter(|key| *key != 0));
         }
-        // Where discovery has moved meanwhile, they go to the new address at once.
-        if to == *self.discovery.borrow() {
-            eprintln!("notices were not taken: {status:?}");
-            self.reports_from = self.clock.now() + REPORT_PAUSE;
+        if !keys.is_empty() {
+            let key = |n: &u64| self.messages.get(n).map_or(0, |h| h.message.order_key());
+            let free: Vec<u64> = self.waiting.iter().copied().filter(|n| keys.contains(&key(n))).collect();
+            free.into_iter().for_each(|number| self.send(number));
         }
-        self.unsent.extend(numbers);
     }
 
     /// The steps to the end of a process that was told to end.
@@ -772,12 +746,12 @@
 
     fn wake_at(&self) -> Instant {
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
-        let reports = (!self.unsent.is_empty()).then(|| self.clock.instant(self.reports_from));
+        let reports = self.notices.due().map(|from| self.clock.instant(from));
         let stop = self.terminated.map(|at| {
             let steps = [at + ACCEPT_ON, at + 2 * ACCEPT_ON, at + END_BY];
             steps.into_iter().find(|s| *s > Instant::now()).unwrap_or(at)
         });
-        let wakes = [timer, reports.filter(|_| self.reports_out < REPORTS), stop];
+        let wakes = [timer, reports, stop];
         wakes.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + SWEEP)
     }
 }
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -26,6 +26,21 @@
 const REST_BYTES: usize = 64 * 1024;
 /// A head that has begun ends within this span, or it can't be read.
 const HEAD_WAIT: Duration = Duration::from_millis(250);
+/// Idle times that are told apart in what is learned of reused connections; by how much more of the calls than on
+/// new ones may be reset, and the calls that must have been seen before a few resets mean something. What was
+/// learned fades by half in about 20 s.
+const AGES: [Duration; 5] = [
+    Duration::from_millis(10),
+    Duration::from_millis(30),
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(1000),
+];
+const TRUST_EXCESS: f64 = 0.03;
+const TRUST_CALLS: f64 = 15.0;
+const TRUST_KEEP: f64 = 0.965;
+/// ENFILE and EMFILE.
+const OWN_LIMITS: [i32; 2] = [23, 24];
 /// A reported limit beyond this, in calls a second, can't be meant.
 const HIGHEST_RATE: f64 = 1e6;
 /// Bytes of an answer's head that are kept before it is given up.
@@ -100,9 +115,46 @@
     }
 }
 
+/// How calls ended by how long their connection had stood idle before. Guards against targets, or what stands
+/// between, that drop idle connections without a sign long before the time that the settings tell: a call on one
+/// may have run, which ends an unsafe message, where a new connection costs a handshake.
+#[derive(Debug, Default)]
+struct Trust {
+    /// Calls and resets on new connections, then by [`AGES`]; fading.
+    seen: [(f64, f64); AGES.len() + 2],
+}
+
+impl Trust {
+    fn place(idle: Option<Duration>) -> usize {
+        idle.map_or(0, |idle| 1 + AGES.iter().filter(|age| idle >= **age).count())
+    }
+
+    fn ended(&mut self, idle: Option<Duration>, reset: bool) {
+        let (calls, resets) = &mut self.seen[Self::place(idle)];
+        *calls += 1.0;
+        *resets += f64::from(u8::from(reset));
+    }
+
+    /// Whether a connection that has been idle for so long is hardly worse than a new one.
+    fn holds(&self, idle: Duration) -> bool {
+        let share = |place: usize| {
+            let (calls, resets) = self.seen[place];
+            resets / (calls + TRUST_CALLS)
+        };
+        share(Self::place(Some(idle))) <= share(0) + TRUST_EXCESS
+    }
+
+    fn fade(&mut self) {
+        self.seen
+            .iter_mut()
+            .for_each(|(calls, resets)| (*calls, *resets) = (*calls * TRUST_KEEP, *resets * TRUST_KEEP));
+    }
+}
+
 /// The connections that stand idle, by target, the one used last at the end.
 #[derive(Debug)]
 pub(crate) struct IdleConnections {
+    trust: Trust,
     by_target: BTreeMap<TargetId, Vec<(Instant, Connection)>>,
     longest: Duration,
     most: usize,
@@ -113,14 +165,23 @@
     /// run, which ends an unsafe message: connections are not used for the last second of it.
     pub fn new(conn_idle: Duration, most: usize) -> Self {
         let margin = Duration::from_secs(1).min(conn_idle / 4);
-        IdleConnections { by_target: BTreeMap::new(), longest: conn_idle - margin, most }
+        let (trust, by_target) = (Trust::default(), BTreeMap::new());
+        IdleConnections { trust, by_target, longest: conn_idle - margin, most }
     }
 
-    pub fn take(&mut self, target: TargetId) -> Option<Connection> {
-        self.sweep();
+    /// A connection for the next call, and how long it has been idle.
+    pub fn take(&mut self, target: TargetId) -> Option<(Connection, Duration)> {
+        self.drop_old();
         let idle = self.by_target.get_mut(&target)?;
-        let last = idle.iter().rposition(|(_, c)| c.is_usable())?;
-        Some(idle.remove(last).1)
+        let trust = &self.trust;
+        idle.retain(|(since, c)| trust.holds(since.elapsed()) && c.is_usable());
+        let (since, connection) = idle.pop()?;
+        Some((connection, since.elapsed()))
+    }
+
+    /// A call has ended on a connection that had been idle for so long, or was new.
+    pub fn ended(&mut self, idle: Option<Duration>, outcome: Outcome) {
+        self.trust.ended(idle, outcome == Outcome::Reset);
     }
 
     pub fn put(&mut self, target: TargetId, connection: Connection) {
@@ -135,8 +196,14 @@
         self.by_target.remove(&target);
     }
 
-    /// Drops those that have shown their end or have been idle for too long.
+    /// To be called once a second.
     pub fn sweep(&mut self) {
+        self.trust.fade();
+        self.drop_old();
+    }
+
+    /// Drops those that have shown their end or have been idle for too long.
+    fn drop_old(&mut self) {
         let now = Instant::now();
         for idle in self.by_target.values_mut() {
             idle.retain(|(since, c)| !c.sender.is_closed() && now < *since + self.longest);
@@ -156,8 +223,8 @@
     /// A wait that is told counts for so long at most.
     pub longest_wait: Duration,
     pub until: Instant,
-    /// One that stood idle.
-    pub connection: Option<Connection>,
+    /// One that stood idle, and for how long.
+    pub connection: Option<(Connection, Duration)>,
     /// Answers told as limit reports.
     pub reports: bool,
 }
@@ -175,6 +242,8 @@
     /// Nothing is to be sent to the destination until then.
     pub wait_until: Option<Instant>,
     pub report: Option<LimitReport>,
+    /// How long its connection had been idle before, if it was not a new one.
+    pub idle: Option<Duration>,
     /// Fit for the next call.
     pub connection: Option<Connection>,
 }
@@ -190,6 +259,7 @@
         over: false,
         wait_until: None,
         report: None,
+        idle: call.connection.as_ref().map(|(_, idle)| *idle),
         connection: None,
     };
     let Call { message, connection: idle, until, dial_timeout, address, reports, longest_wait, .. } = call;
@@ -198,9 +268,13 @@
     let mut handed_over = None;
     let exchange = async {
         let mut connection = match idle {
-            Some(connection) => connection,
+            Some((connection, _)) => connection,
             None => match timeout(dial_timeout, Connection::open(address)).await {
                 Ok(Ok(connection)) => connection,
+                // Out of descriptors here: that says nothing of the target.
+                Ok(Err(e)) if OWN_LIMITS.map(Some).contains(&e.raw_os_error()) => {
+                    return Err(Outcome::NotSent)
+                }
                 _ => return Err(Outcome::ConnectFailed),
             },
         };
@@ -292,3 +366,26 @@
     let rate = value("x1").filter(|rate| (0.0..=HIGHEST_RATE).contains(rate))?;
     Some(LimitReport { share_left, rate })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn idle_times_at_which_connections_are_dropped_are_learned_and_forgotten() {
+        let mut trust = Trust::default();
+        let (short, long) = (Duration::from_millis(20), Duration::from_millis(200));
+        for n in 0..40 {
+            // Resets that come whatever the connection is say nothing of its idle time.
+            trust.ended(None, n % 10 == 0);
+            trust.ended(Some(short), n % 10 == 0);
+        }
+        assert!(trust.holds(short) && trust.holds(long));
+        for n in 0..8 {
+            trust.ended(Some(long), n % 3 == 0);
+        }
+        assert!(!trust.holds(long) && trust.holds(short));
+        (0..120).for_each(|_| trust.fade());
+        assert!(trust.holds(long), "it is never tried again");
+    }
+}
--- a/src/brain_tests.rs
+++ b/src/brain_tests.rs
@@ -143,3 +143,57 @@
     lane.limit_is(32.0, 2, 3.0);
     assert!(lane.pace > 0.9 * part);
 }
+
+/// An answer that can't be read fails its own message, not the endpoint: the next unsafe one goes at once. After
+/// an error it waits for a sign of health.
+#[test]
+fn an_answer_that_cannot_be_read_does_not_hold_back_the_next_message() {
+    for (outcome, sent) in [(Outcome::Spoilt, true), (Outcome::Error, false)] {
+        let class = Class {
+            aim: 3_000_000,
+            deadline: 12_000_000,
+            worth: 1.0,
+            effect: Effect::Unsafe,
+            ..Class::default()
+        };
+        let settings = Settings {
+            senders: 1,
+            slots: 8,
+            max_held: 100,
+            max_attempts: 8,
+            classes: vec![class],
+            ..Settings::default()
+        };
+        let mut brain = Brain::new(0, 1, settings);
+        let mut out = Vec::new();
+        let endpoint = Endpoint { target: 1, destination: 1, ..Endpoint::default() };
+        brain.handle(
+            0,
+            Event::List { kind: ListKind::Full, version: 1, endpoints: vec![endpoint] },
+            &mut out,
+        );
+        let mut sends = |id: u64, now: Micros, end: Option<Event>| {
+            let mut out = Vec::new();
+            end.into_iter().for_each(|end| brain.handle(now, end, &mut out));
+            let event =
+                Event::Request { id, class: 0, destination: 1, order_key: 0, expires: now + 12_000_000 };
+            brain.handle(now, event, &mut out);
+            brain.decide(now, &mut out);
+            out
+        };
+        assert!(sends(1, 0, None).iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
+        let end = Event::Outcome {
+            id: 1,
+            attempt: 0,
+            target: 1,
+            outcome,
+            took: 50_000,
+            ended: false,
+            wait: 0,
+            report: None,
+        };
+        let actions = sends(2, 50_000, Some(end));
+        assert!(actions.contains(&Action::Fail { id: 1 }), "it may have run");
+        assert_eq!(actions.iter().any(|a| matches!(a, Action::Send { id: 2, .. })), sent, "{outcome:?}");
+    }
+}
