Tell clients to close when connections that have asked crowd

Traces of evictions, ends and answers (taken out again) showed no refusal of ours: 128 connections stood idle after one request each, a third of the 384 descriptors, the most that clients hold; what came on top was turned away before it reached the node. They leave after 2 s, and 125 messages a second come, each on a connection of its own (clients.rs). Answers now close their connections once a third of the places is taken.

--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -33,6 +33,8 @@
 const BODY_WAIT: Duration = Duration::from_millis(800);
 /// A connection that has said nothing for so long is the first to go when places are short.
 const SILENT: Duration = Duration::from_millis(100);
+/// Answers close their connections when more than this part of the places is taken by those that have asked.
+const CROWDED: usize = 3;
 /// Pause after a connection could not be accepted, for want of descriptors say.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -88,14 +90,8 @@
                 if taken.len() < self.most {
                     return;
                 }
-                let rank = |p: &Place| match p.doing {
-                    Doing::Silent if p.since.elapsed() > SILENT => Some(0),
-                    Doing::Silent | Doing::Idle => Some(1),
-                    Doing::Request => None,
-                };
-                let can_go = taken.values().filter_map(|p| Some((rank(p)?, p.since, &p.leave)));
-                if let Some((_, _, leave)) = can_go.min_by_key(|(rank, since, _)| (*rank, *since)) {
-                    leave.notify_one();
+                if let Some(place) = first_to_go(&taken, Instant::now()) {
+                    place.leave.notify_one();
                 }
             }
             freed.await;
@@ -111,11 +107,29 @@
         }
     }
 
+    /// Guards against clients that ask once and keep their connection: what stands in front of them holds only
+    /// so many, and turns further requests away though this process has time.
+    fn are_crowded(&self) -> bool {
+        let taken = self.lock();
+        taken.values().filter(|p| p.doing != Doing::Silent).count() > self.most / CROWDED
+    }
+
     fn has_request(&self, number: usize) -> bool {
         self.lock().get(&number).is_some_and(|p| p.doing == Doing::Request)
     }
 }
 
+/// Which connection makes room: one that says nothing, then the one without a request for longest.
+fn first_to_go(taken: &BTreeMap<usize, Place>, now: Instant) -> Option<&Place> {
+    let rank = |p: &Place| match p.doing {
+        Doing::Silent if now.saturating_duration_since(p.since) > SILENT => Some(0),
+        Doing::Silent | Doing::Idle => Some(1),
+        Doing::Request => None,
+    };
+    let can_go = taken.values().filter_map(|p| Some((rank(p)?, p)));
+    can_go.min_by_key(|(rank, p)| (*rank, p.since)).map(|(_, p)| p)
+}
+
 /// A connection's own place, free again when this is dropped.
 struct Seat {
     places: Arc<Places>,
@@ -145,7 +159,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let leave = Arc::new(Notify::new());
-                let place = Place { doing: Doing::Silent, since: Instant::now(), leave: leave.clone() };
+                let since = Instant::now();
+                let place = Place { doing: Doing::Silent, since, leave: leave.clone() };
                 places.lock().insert(number, place);
                 let seat = Seat { places: places.clone(), number };
                 tokio::spawn(connection(stream, desk.clone(), seat, leave));
@@ -169,7 +184,10 @@
         let (desk, places, number) = (desk.clone(), seat.places.clone(), seat.number);
         places.does(number, Doing::Request);
         async move {
-            let response = answer(request, sound, &desk).await;
+            let mut response = answer(request, sound, &desk).await;
+            if places.are_crowded() {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             places.does(number, Doing::Idle);
             Ok::<_, Infallible>(response)
         }
@@ -312,3 +330,31 @@
     let number = pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse::<f64>().ok()?;
     (number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number)).then_some(number as u32)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn silent_connections_make_room_first_and_open_requests_never() {
+        let start = Instant::now();
+        let now = start + Duration::from_secs(1);
+        let place = |doing, age| {
+            let since = now - Duration::from_millis(age);
+            Place { doing, since, leave: Arc::default() }
+        };
+        let all = [
+            place(Doing::Request, 900),
+            place(Doing::Silent, 50),
+            place(Doing::Idle, 200),
+            place(Doing::Silent, 150),
+        ];
+        let mut taken: BTreeMap<usize, Place> = all.into_iter().enumerate().collect();
+        for expected in [3, 2, 1] {
+            let goes = first_to_go(&taken, now).map(|p| p.leave.clone()).unwrap();
+            assert!(Arc::ptr_eq(&goes, &taken[&expected].leave), "{expected}");
+            taken.remove(&expected);
+        }
+        assert!(first_to_go(&taken, now).is_none(), "a request is open");
+    }
+}
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -126,6 +126,18 @@
     assert_eq!(target.ids(), ["m1"]);
 }
 
+/// Clients that ask once and keep their connection used up what the front holds: others were turned away there.
+#[test]
+fn connections_that_have_asked_are_closed_when_they_crowd() {
+    let (_target, _platform, forwarder) = one_target(|_| OK);
+    let mut kept: Vec<_> = (0..5).map(|_| forwarder.connect()).collect();
+    let closes = |kept: &mut Kept| kept.ask("/healthz").is_none_or(|head| head.contains("connection: close"));
+    let first = kept.iter_mut().map(|k| usize::from(closes(k))).sum::<usize>();
+    assert_eq!(first, 0, "few are kept");
+    kept.extend((0..95).map(|_| forwarder.connect()));
+    eventually("some are told to close", || kept.iter_mut().any(closes));
+}
+
 /// A second copy, from whomever it comes, used to be taken on as a message of its own.
 #[test]
 fn an_id_that_was_handed_in_before_is_sent_once() {
