--- /dev/null
+++ b/crates/control/src/protocol.rs
@@ -0,0 +1,459 @@
+//! What is asked and answered. Spans are milliseconds, times Unix time in microseconds.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Version of the protocol. A request names it; another one is refused with this one told.
+pub const VERSION: u32 = 1;
+/// Lines of a list that one answer has at most.
+pub const MOST_LINES: u32 = 1000;
+
+/// A request: one line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Request {
+    /// [`VERSION`].
+    pub v: u32,
+    /// Comes back with the answer, whatever it is.
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    pub id: Value,
+    /// What is asked.
+    #[serde(flatten)]
+    pub ask: Ask,
+}
+
+/// What can be asked, by the field `ask`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "ask", rename_all = "snake_case")]
+pub enum Ask {
+    /// Figures of the whole.
+    Status,
+    /// Every partner.
+    Partners,
+    /// Every endpoint.
+    Endpoints,
+    /// What is held, by partner and key, the longest first.
+    Queues {
+        /// Of one partner only.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        partner: Option<String>,
+        /// Lines at most; [`MOST_LINES`] if not given.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        most: Option<u32>,
+    },
+    /// Attempts that failed lately, the latest first.
+    Failures {
+        /// Lines at most.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        most: Option<u32>,
+    },
+    /// One message's history.
+    Message {
+        /// Its `X-Request-Id`.
+        message: String,
+    },
+    /// From now on, status, partners and endpoints each time that they have changed.
+    Subscribe {
+        /// Not more often than this; 1000 if not given, 200 at the least.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        every_ms: Option<u32>,
+    },
+    /// An order: a new endpoint of a partner.
+    Add {
+        /// The partner.
+        partner: String,
+        /// The new endpoint's name.
+        endpoint: String,
+        /// Where it listens: address and port.
+        address: String,
+    },
+    /// An order: nothing new goes to an endpoint.
+    Drain {
+        /// Its name.
+        endpoint: String,
+    },
+    /// An order: a drained endpoint, or a paused partner, is called again. One of the two.
+    Resume {
+        /// The endpoint's name.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        endpoint: Option<String>,
+        /// The partner's name.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        partner: Option<String>,
+    },
+    /// An order: an endpoint is no more. Calls that are out to it may end.
+    Remove {
+        /// Its name.
+        endpoint: String,
+    },
+    /// An order: nothing new goes to a partner. Messages for it are taken on and wait, up to their deadlines.
+    Pause {
+        /// Its name.
+        partner: String,
+    },
+    /// An order: the process ends, once what is out has ended or its time is up.
+    Stop,
+}
+
+/// An answer, or a push of a subscription: one line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Reply {
+    /// [`VERSION`].
+    pub v: u32,
+    /// As in the request.
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    pub id: Value,
+    /// What is answered.
+    #[serde(flatten)]
+    pub told: Told,
+}
+
+/// What can be answered, by the name of the one field.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Told {
+    /// Figures of the whole.
+    Status(Box<Status>),
+    /// Every partner.
+    Partners(Vec<Partner>),
+    /// Every endpoint.
+    Endpoints(Vec<Endpoint>),
+    /// What is held.
+    Queues(Vec<Queue>),
+    /// Attempts that failed.
+    Failures(Vec<Failure>),
+    /// One message.
+    Message(Box<Message>),
+    /// An order has been carried out, and outlives the process and the power.
+    Done(Done),
+    /// A push: all that a subscription shows.
+    Changed {
+        /// Figures of the whole.
+        status: Box<Status>,
+        /// Every partner.
+        partners: Vec<Partner>,
+        /// Every endpoint.
+        endpoints: Vec<Endpoint>,
+    },
+    /// Refused, or not understood. Nothing has changed.
+    Error(Error),
+}
+
+/// Why something was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// A word for programs: `version`, `unreadable`, `too_long`, `refused`, `not_kept`, `unknown_message`, `busy`.
+    pub code: String,
+    /// A sentence for people.
+    pub text: String,
+}
+
+/// What an order has come to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Done {
+    /// False if things were so already.
+    pub changed: bool,
+    /// Statements in the membership log so far.
+    pub version: u64,
+    /// Calls that are still out to what the order names.
+    pub calls: u32,
+    /// Messages that are held for its partner.
+    pub held: u32,
+}
+
+/// Figures of the whole. Counts are since the process started.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    /// The site's name.
+    pub name: String,
+    /// The program's version.
+    pub program: String,
+    /// Process id.
+    pub pid: u32,
+    /// Time of the picture.
+    pub at: u64,
+    /// How long the process has been up.
+    pub up_ms: u64,
+    /// `serving`, `draining` (told to end) or `closing`.
+    pub stage: String,
+    /// Messages taken on.
+    pub taken: u64,
+    /// Messages turned away before they were taken on.
+    pub refused: u64,
+    /// Ended as delivered.
+    pub delivered: u64,
+    /// Ended as given up.
+    pub given_up: u64,
+    /// Ended as in doubt.
+    pub in_doubt: u64,
+    /// Ended as handed back.
+    pub handed_back: u64,
+    /// Attempts that failed.
+    pub failures: u64,
+    /// Messages held now, their bytes, and the bound of either.
+    pub held: u32,
+    /// See `held`.
+    pub held_most: u32,
+    /// See `held`.
+    pub held_bytes: u64,
+    /// See `held`.
+    pub held_bytes_most: u64,
+    /// Calls out, and their bound.
+    pub calls: u32,
+    /// See `calls`.
+    pub calls_most: u32,
+    /// Age of the oldest message that is held.
+    pub oldest_ms: u64,
+    /// Bytes in the journal's file, and their bound.
+    pub journal_bytes: u64,
+    /// See `journal_bytes`.
+    pub journal_most: u64,
+    /// Ends kept, those of them that nobody has acknowledged, and their bound.
+    pub ends: u64,
+    /// See `ends`.
+    pub ends_unfetched: u64,
+    /// See `ends`.
+    pub ends_most: u64,
+    /// Bytes of the ends' files, and their bound.
+    pub ends_bytes: u64,
+    /// See `ends_bytes`.
+    pub ends_bytes_most: u64,
+    /// Ends that could not be written yet: the disk is full, say.
+    pub ends_unwritten: u32,
+    /// Statements in the membership log.
+    pub membership: u64,
+    /// Longest round of the loop since the last picture, in microseconds.
+    pub longest_round_us: u64,
+}
+
+/// A partner.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Partner {
+    /// Its name.
+    pub name: String,
+    /// Its kind.
+    pub kind: String,
+    /// An order has paused it.
+    pub paused: bool,
+    /// `up`, `failing`, `out` (single trials), `warming` (slow start), `closed` (paused, or no endpoint may be called).
+    pub health: String,
+    /// Endpoints.
+    pub endpoints: u32,
+    /// Those of them that may be called.
+    pub open: u32,
+    /// Messages held for it.
+    pub held: u32,
+    /// Age of the oldest of them.
+    pub oldest_ms: u64,
+    /// Calls out.
+    pub calls: u32,
+    /// Calls that may be out at once, as learned.
+    pub window: f64,
+    /// Time after which a repeatable message is sent again, 0 until it is trusted.
+    pub tau_ms: f64,
+    /// Mean answer time.
+    pub mean_ms: f64,
+    /// Rest of a wait that it has told.
+    pub wait_ms: u64,
+    /// Calls a second that are sent at most, 0 without limit.
+    pub pace: f64,
+    /// The rate that the site file names, 0 for none.
+    pub rate: f64,
+    /// Calls out at once by the site file, 0 for none.
+    pub slots: u32,
+    /// Messages delivered to it since the start.
+    pub delivered: u64,
+    /// Attempts that failed since the start.
+    pub failures: u64,
+}
+
+/// An endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: String,
+    /// Its partner.
+    pub partner: String,
+    /// Where it listens.
+    pub address: String,
+    /// `active`, `draining` (by an order), `paused` (its partner is).
+    pub state: String,
+    /// As of a partner; `drained` once it is draining or paused and no call is out.
+    pub health: String,
+    /// Calls out to it.
+    pub calls: u32,
+    /// Calls that may be out at once on its way, which it may share with others of its partner.
+    pub window: f64,
+    /// Resend point of its way, 0 until it is trusted.
+    pub tau_ms: f64,
+    /// Rest of a wait that was told on its way.
+    pub wait_ms: u64,
+    /// Others are taken first for so long: it has failed lately.
+    pub avoided_ms: u64,
+    /// Since the order that closed it, if that came in this process; 0 otherwise.
+    pub closed_ms: u64,
+}
+
+/// What is held of a key of a partner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Queue {
+    /// The partner.
+    pub partner: String,
+    /// The key; empty for messages without.
+    pub key: String,
+    /// Messages.
+    pub held: u32,
+    /// Age of the oldest.
+    pub oldest_ms: u64,
+}
+
+/// An attempt that failed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Failure {
+    /// When its outcome came.
+    pub at: u64,
+    /// The message.
+    pub message: String,
+    /// Its class.
+    pub class: String,
+    /// The partner.
+    pub partner: String,
+    /// The endpoint.
+    pub endpoint: String,
+    /// Which attempt of the message, from 1.
+    pub attempt: u32,
+    /// See [`Attempt::outcome`].
+    pub outcome: String,
+    /// It ran, or nobody can tell.
+    pub may_have_run: bool,
+    /// What was done about it: `waits`, `sent again`, or how the message ended.
+    pub then: String,
+}
+
+/// An attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Attempt {
+    /// When it began.
+    pub at: u64,
+    /// When its outcome came; 0 if it is out, or was when a process ended.
+    pub until: u64,
+    /// The endpoint.
+    pub endpoint: String,
+    /// `out`, `ok`, `error`, `full`, `timed out`, `not connected`, `reset`, `cancelled`, `spoilt`, `not sent`; of an
+    /// earlier process `lost` (no outcome), `did not run` or `may have run`.
+    pub outcome: String,
+    /// It ran, or nobody can tell.
+    pub may_have_run: bool,
+}
+
+/// One message.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Message {
+    /// Its `X-Request-Id`.
+    pub id: String,
+    /// `held`, `delivered`, `given_up`, `in_doubt` or `handed_back`.
+    pub state: String,
+    /// Its class.
+    pub class: String,
+    /// Its partner.
+    pub partner: String,
+    /// The key of its order.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub key: String,
+    /// When it was taken on.
+    pub taken: u64,
+    /// When it will be given up, if it is held.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub expires: u64,
+    /// When it ended, if it has.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub ended: u64,
+    /// For `handed_back`: when to come again.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub retry_in_ms: u64,
+    /// Its attempts.
+    pub attempts: Vec<Attempt>,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+impl Reply {
+    /// A refusal.
+    pub fn error(id: Value, code: &str, text: impl Into<String>) -> Reply {
+        Reply { v: VERSION, id, told: Told::Error(Error { code: code.into(), text: text.into() }) }
+    }
+
+    /// The line, with its end.
+    pub fn line(&self) -> String {
+        // Only maps with keys that are no texts can't be written, and there is none.
+        let text = serde_json::to_string(self).unwrap_or_default();
+        format!("{text}\n")
+    }
+}
+
+/// Reads a request.
+///
+/// # Errors
+/// The refusal to answer with.
+pub fn read(line: &str) -> Result<Request, Box<Reply>> {
+    let refuse = |id, code: &str, text: String| Box::new(Reply::error(id, code, text));
+    let value: Value = serde_json::from_str(line)
+        .map_err(|e| refuse(Value::Null, "unreadable", format!("no JSON object in a line: {e}")))?;
+    let id = value.get("id").cloned().unwrap_or_default();
+    match value.get("v").and_then(Value::as_u64) {
+        Some(v) if v == u64::from(VERSION) => {}
+        Some(v) => {
+            return Err(refuse(id, "version", format!("version {v} is not spoken here, {VERSION} is")))
+        }
+        None => return Err(refuse(id, "version", format!("a request names its version: \"v\":{VERSION}"))),
+    }
+    serde_json::from_value(value).map_err(|e| refuse(id, "unreadable", e.to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn requests_are_read_or_refused_with_their_id() {
+        let request = read(r#"{"v":1,"id":7,"ask":"drain","endpoint":"a"}"#).unwrap();
+        assert_eq!((request.ask, request.id), (Ask::Drain { endpoint: "a".into() }, 7.into()));
+        assert_eq!(read(r#"{"v":1,"ask":"queues"}"#).unwrap().ask, Ask::Queues { partner: None, most: None });
+        let code = |line: &str| match read(line).unwrap_err().told {
+            Told::Error(error) => error.code,
+            told => panic!("{told:?}"),
+        };
+        assert_eq!(code(r#"{"v":2,"ask":"status"}"#), "version");
+        assert_eq!(code(r#"{"ask":"status"}"#), "version");
+        for line in ["", "7", "{}x", r#"{"v":1}"#, r#"{"v":1,"ask":"fly"}"#, r#"{"v":1,"ask":"drain"}"#] {
+            assert!(["unreadable", "version"].contains(&code(line).as_str()), "{line}");
+        }
+        let reply = read(r#"{"v":9,"id":"mine","ask":"status"}"#).unwrap_err();
+        assert!(reply.line().contains("\"mine\""));
+    }
+
+    #[test]
+    fn a_reply_names_what_it_tells_and_is_read_again() {
+        let reply = Reply { v: VERSION, id: 3.into(), told: Told::Queues(vec![Queue::default()]) };
+        let line = reply.line();
+        assert!(line.starts_with(r#"{"v":1,"id":3,"queues":[{"#) && line.ends_with("]}\n"), "{line}");
+        let again: Reply = serde_json::from_str(&line).unwrap();
+        assert_eq!(again.told, reply.told);
+    }
+
+    proptest! {
+        #[test]
+        fn no_line_brings_the_reader_down(line in ".{0,80}") {
+            let _ = read(&line);
+        }
+    }
+}
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -7,8 +7,8 @@
 
 const MARK: [u8; 2] = [0xf7, 0x1d];
 const HEAD: usize = 10;
-/// Bytes that no record is longer than: a body of 64 KiB and the headers that come with it.
-pub const LONGEST: usize = 256 * 1024;
+/// Bytes that no record is longer than: the membership of a whole site in one.
+pub const LONGEST: usize = 1 << 20;
 
 /// The frame of a record, ready to be appended.
 ///
--- a/crates/journal/src/messages.rs
+++ b/crates/journal/src/messages.rs
@@ -78,15 +78,35 @@
     Noticed(Notice),
     /// Delivered, or its notice is answered.
     Over,
+    /// Taken on, where it matters when.
+    AcceptedAt {
+        /// When, Unix time in microseconds.
+        at: u64,
+        /// The message.
+        accepted: Accepted,
+    },
+    /// As `Begun`, where it matters at which endpoint.
+    BegunAt {
+        /// When, Unix time in microseconds.
+        at: u64,
+        /// The target's zone.
+        zone: u32,
+        /// The endpoint's name.
+        endpoint: String,
+    },
+    /// Delivered, and that is still to be told.
+    Delivered,
 }
 
 /// An attempt as the journal knows it; without a fate it was out when the process ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tried {
     /// When it began, Unix time in microseconds.
     pub at: u64,
     /// The target's zone.
     pub zone: u32,
+    /// The endpoint's name, where it was written.
+    pub endpoint: String,
     /// Whether it has run.
     pub fate: Option<Fate>,
 }
@@ -96,6 +116,10 @@
 pub struct Restored {
     /// As it was taken on.
     pub accepted: Accepted,
+    /// When, Unix time in microseconds; 0 where it was not written.
+    pub taken: u64,
+    /// Delivered, and that is still to be told.
+    pub delivered: bool,
     /// Its attempts, in their order.
     pub attempts: Vec<Tried>,
     /// Its end, if that has not been answered yet.
@@ -116,16 +140,20 @@
 }
 
 impl Journal {
-    /// Opens the journal of a folder that may hold `room` bytes, and tells what is not over.
+    /// Opens the journal of a folder that may hold `room` bytes, and tells what is not over. `longest_name` is that
+    /// of an endpoint, where attempts are written with theirs.
+    ///
+    /// # Errors
+    /// The file can't be read or written.
     pub fn open(
-        folder: &Path, room: u64, max_attempts: u32,
+        folder: &Path, room: u64, max_attempts: u32, longest_name: usize,
     ) -> io::Result<(Journal, BTreeMap<u64, Restored>)> {
         let path = folder.join("journal");
         // A compaction that the process did not live to finish.
         let _ = fs::remove_file(path.with_extension("new"));
         let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let bytes = fs::read(&path)?;
-        let reserve = ATTEMPT_BYTES * u64::from(max_attempts) + NOTICE_BYTES;
+        let reserve = (ATTEMPT_BYTES + longest_name as u64) * u64::from(max_attempts) + NOTICE_BYTES;
         let (live, live_bytes) = (BTreeMap::new(), 0);
         let mut journal = Journal { path, file, length: 0, live, live_bytes, room, reserve };
         let mut restored = BTreeMap::new();
@@ -160,6 +188,11 @@
         Ok((journal, restored))
     }
 
+    /// Bytes in the file.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
     /// Whether a message of about this size can be taken on, with all that may have to be written of it: the
     /// live frames must fit twice, once in the old file and once in the new one of a compaction.
     pub fn has_room(&self, size: usize) -> bool {
@@ -221,22 +254,37 @@
 }
 
 fn replay(restored: &mut BTreeMap<u64, Restored>, number: u64, record: &Record) {
-    if let Record::Accepted(accepted) = record {
-        let fresh = Restored { accepted: accepted.clone(), attempts: Vec::new(), notice: None };
-        restored.insert(number, fresh);
-        return;
+    let fresh = |accepted: &Accepted, taken| Restored {
+        accepted: accepted.clone(),
+        taken,
+        delivered: false,
+        attempts: Vec::new(),
+        notice: None,
+    };
+    match record {
+        Record::Accepted(accepted) => drop(restored.insert(number, fresh(accepted, 0))),
+        Record::AcceptedAt { at, accepted } => drop(restored.insert(number, fresh(accepted, *at))),
+        Record::Over => drop(restored.remove(&number)),
+        _ => {}
     }
     let Some(message) = restored.get_mut(&number) else { return };
+    let begun = |at: &u64, zone: &u32, endpoint: &str| Tried {
+        at: *at,
+        zone: *zone,
+        endpoint: endpoint.to_string(),
+        fate: None,
+    };
     match record {
-        Record::Begun { at, zone } => message.attempts.push(Tried { at: *at, zone: *zone, fate: None }),
+        Record::Begun { at, zone } => message.attempts.push(begun(at, zone, "")),
+        Record::BegunAt { at, zone, endpoint } => message.attempts.push(begun(at, zone, endpoint)),
         Record::Ended(fate) => {
             if let Some(tried) = message.attempts.last_mut() {
                 tried.fate = Some(*fate);
             }
         }
         Record::Noticed(notice) => message.notice = Some(*notice),
-        Record::Over => drop(restored.remove(&number)),
-        Record::Accepted(_) => {}
+        Record::Delivered => message.delivered = true,
+        Record::Accepted(_) | Record::AcceptedAt { .. } | Record::Over => {}
     }
 }
 
@@ -247,7 +295,7 @@
     const ROOM: u64 = 200_000;
 
     fn open(folder: &Path) -> (Journal, BTreeMap<u64, Restored>) {
-        Journal::open(folder, ROOM, 8).unwrap()
+        Journal::open(folder, ROOM, 8, 0).unwrap()
     }
 
     fn accepted(body: usize) -> Record {
--- /dev/null
+++ b/crates/site/src/model.rs
@@ -0,0 +1,158 @@
+//! What a site is. All spans are microseconds, all sizes bytes, all rates messages a second.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What a repeat of a message does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing that matters: it may be repeated at will.
+    Repeatable,
+    /// The partner drops repeats with the same idempotency key for the class's `remembered` span.
+    Keyed,
+    /// It must never take effect twice.
+    Once,
+}
+
+/// A class of message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// First part of the path that clients post to.
+    pub name: String,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Messages with the same key go one at a time, in the order in which they came.
+    pub ordered: bool,
+    /// For [`Effect::Keyed`]: how long partners drop repeats; 0 otherwise.
+    pub remembered: u64,
+    /// Wanted within this span.
+    pub aim: u64,
+    /// Given up after this span.
+    pub deadline: u64,
+    /// Worth of a delivery, beside those of other classes.
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline, 0 to 1.
+    pub late_worth: f64,
+}
+
+/// A kind of partner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// As partners name it.
+    pub name: String,
+    /// Endpoints are routes apart, each with a limit and outages of its own.
+    pub routes_apart: bool,
+}
+
+/// An endpoint of a partner, as the site file has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Unlike any other of the site.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A partner.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Partner {
+    /// As clients name it in `X-Partner`.
+    pub name: String,
+    /// Place of its kind in [`Site::kinds`].
+    pub kind: usize,
+    /// Messages a second that it takes; none if it names no limit.
+    pub rate: Option<f64>,
+    /// Calls out to it at once at most; none if only the site's limit holds.
+    pub slots: Option<u32>,
+    /// Its endpoints.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// What the process may use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of memory for messages and what is remembered of them.
+    pub memory: u64,
+    /// File descriptors.
+    pub descriptors: usize,
+    /// Bytes in the state folder.
+    pub disk: u64,
+    /// Messages held at once.
+    pub messages: u32,
+    /// Calls out at once.
+    pub calls: u32,
+    /// Attempts for one message.
+    pub attempts: u32,
+    /// Longest wait that a refused client is told.
+    pub longest_wait: u64,
+}
+
+/// How long the ends of messages are kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ends {
+    /// So many at most.
+    pub count: u64,
+    /// Bytes on disk at most.
+    pub size: u64,
+    /// Those that the client has acknowledged are kept for so long.
+    pub age: u64,
+}
+
+/// How calls to partners are made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Calls {
+    /// Partners close a connection that has been idle for so long.
+    pub connection_idle: u64,
+    /// A connection not made within this span has failed.
+    pub connect_timeout: u64,
+}
+
+/// An installation of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// For people.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The state folder.
+    pub state: PathBuf,
+    /// Bounds.
+    pub limits: Limits,
+    /// Bounds of the kept ends.
+    pub ends: Ends,
+    /// How calls are made.
+    pub calls: Calls,
+    /// Classes, in the order of their names.
+    pub classes: Vec<Class>,
+    /// Kinds of partner; the first is that of partners which name none.
+    pub kinds: Vec<Kind>,
+    /// Partners, in the order of their names.
+    pub partners: Vec<Partner>,
+}
+
+impl Partner {
+    /// Its number as a destination: the CRC-32 of its name, so that a journal means the same partner whatever else
+    /// is lost. Two partners of a site never share one.
+    pub fn number(&self) -> u32 {
+        crc32fast::hash(self.name.as_bytes())
+    }
+}
+
+impl Site {
+    /// The control line's socket.
+    pub fn control_socket(&self) -> PathBuf {
+        self.state.join(CONTROL_SOCKET)
+    }
+
+    /// Bytes of the disk limit that are left for messages, once ends and membership have their part.
+    pub fn journal_room(&self) -> u64 {
+        self.limits.disk.saturating_sub(self.ends.size + MEMBERSHIP_ROOM)
+    }
+}
+
+/// Name of the control line's socket in the state folder.
+pub const CONTROL_SOCKET: &str = "control.sock";
+/// Bytes that the membership log may take, a compaction of it included.
+pub const MEMBERSHIP_ROOM: u64 = 2 << 20;
+/// Endpoints of a site at most: so many fit the membership log's room twice, as a compaction needs it.
+pub const MOST_ENDPOINTS: usize = 2000;
--- /dev/null
+++ b/crates/site/tests/files.rs
@@ -0,0 +1,141 @@
+//! Site files as operators write them: right, wrong in twenty places, and no files at all.
+
+use foldtrack_site::template::TEMPLATE;
+use foldtrack_site::{load, parse, Effect};
+use proptest::prelude::*;
+use std::path::Path;
+
+fn findings(text: &str) -> Vec<String> {
+    let found = parse(Path::new("site.toml"), text).err().unwrap_or_default();
+    found.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_template_passes_and_means_what_it_says() {
+    let site = parse(Path::new("site.toml"), TEMPLATE).unwrap();
+    assert_eq!(site.classes.len(), 2);
+    let fee = &site.classes[0];
+    assert_eq!((fee.name.as_str(), fee.effect, fee.deadline), ("fee-payment", Effect::Once, 24_000_000));
+    let update = &site.classes[1];
+    assert!(update.ordered && update.remembered == 10_000_000 && update.aim == 3_000_000);
+    let school = site.partners.iter().find(|p| p.name == "school-north").unwrap();
+    assert_eq!((school.rate, school.slots, school.endpoints.len()), (Some(25.0), Some(16), 2));
+    assert_eq!(site.kinds[school.kind].name, "school-system");
+    assert_eq!(site.limits.memory, 256 << 20);
+}
+
+/// One reading tells them all, each at its own line, with what would be right.
+#[test]
+fn twenty_mistakes_and_more_give_a_finding_each_in_their_order() {
+    let text = r#"[site]
+nmae = "x"
+listen = "localhost"
+state = ""
+[limits]
+memory = "lots"
+descriptors = -5
+disk = 3
+messages = 0
+calls = 5000
+[ends]
+count = "many"
+age = "1 fortnight"
+[class.v1]
+effect = "twice"
+deadline = "24s"
+aim = "48s"
+[class."a b"]
+effect = "keyed"
+deadline = "24s"
+[class.fee]
+effect = "once"
+remembered = "10s"
+worth = 0
+late-worth = 1.5
+[partner.p]
+kind = "bank"
+rate = "fast"
+slots = 0
+[partner.p.endpoint.a]
+address = "p.example:80"
+"#;
+    let found = findings(text);
+    let expected = [
+        ("2:1: site.nmae:", "\"name\" is the nearest"),
+        ("3:10: site.listen:", "names are not looked up"),
+        ("4:9: site.state:", "/var/lib/foldtrack"),
+        ("6:10: limits.memory:", "\"64KiB\""),
+        ("7:15: limits.descriptors:", "whole number from 0"),
+        ("8:8: limits.disk:", "text in quotes"),
+        ("9:12: limits.messages:", "1 to 10000000"),
+        ("10:9: limits.calls:", "lower `calls` or raise"),
+        ("12:9: ends.count:", "whole number"),
+        ("13:7: ends.age:", "\"3s\""),
+        ("14:8: class.v1:", "listener's own"),
+        ("15:10: class.v1.effect:", "\"once\""),
+        ("17:7: class.v1.aim:", "later than the deadline"),
+        ("18:8: class.a b:", "no name"),
+        ("18:1: class.a b.remembered:", "is missing"),
+        ("21:1: class.fee.deadline:", "deadline = \"24s\""),
+        ("23:14: class.fee.remembered:", "only with effect"),
+        ("24:9: class.fee.worth:", "0.001 to 1000"),
+        ("25:14: class.fee.late-worth:", "0 to 1"),
+        ("27:8: partner.p.kind:", "[kind.bank] adds it"),
+        ("28:8: partner.p.rate:", "\"250 msgs/s\""),
+        ("29:9: partner.p.slots:", "1 to 100000"),
+        ("31:11: partner.p.endpoint.a.address:", "names are not looked up"),
+    ];
+    for (place, hint) in expected {
+        let one = |line: &&String| line.starts_with(&format!("site.toml:{place}")) && line.contains(hint);
+        assert_eq!(found.iter().filter(one).count(), 1, "{place} {hint}\n{}", found.join("\n"));
+    }
+    assert_eq!(found.len(), expected.len(), "{}", found.join("\n"));
+}
+
+#[test]
+fn what_stands_twice_or_is_not_toml_is_found_beside_the_rest() {
+    let twice = "[partner.a.endpoint.x]\naddress = \"127.0.0.1:1\"\n[partner.b.endpoint.x]\naddress = \"127.0.0.1:1\"\n";
+    let found = findings(&format!("{TEMPLATE}{twice}"));
+    assert_eq!(found.len(), 2, "{found:?}");
+    assert!(
+        found.iter().any(|f| f.contains("endpoint of a too"))
+            && found.iter().any(|f| f.contains("address of x too"))
+    );
+    let broken =
+        TEMPLATE.replace("listen = \"127.0.0.1:8080\"", "listen = ").replace("attempts = 8", "attempts = 0");
+    let found = findings(&broken);
+    assert!(found.len() >= 2 && found.iter().any(|f| f.contains("limits.attempts")), "{found:?}");
+    assert!(findings("").len() >= 3, "an empty file lacks what a site needs");
+}
+
+#[test]
+fn what_is_no_readable_file_is_one_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("site.toml");
+    let one = |path: &Path, hint: &str| {
+        let found = load(path).unwrap_err();
+        assert!(found.len() == 1 && found[0].to_string().contains(hint), "{found:?}");
+    };
+    one(&path, "No such file");
+    one(folder.path(), "not a file");
+    std::fs::write(&path, vec![b'#'; 5 << 20]).unwrap();
+    one(&path, "5242880 bytes");
+    std::fs::write(&path, b"[site]\nname = \"\xff\"\n").unwrap();
+    one(&path, "not UTF-8 from byte 15");
+    let long = TEMPLATE.replace("foldtrack-state", &"x".repeat(100));
+    assert!(findings(&long).iter().any(|f| f.contains("site.state: is too long")));
+}
+
+proptest! {
+    /// Whatever is cut out of a good file or put into it, the answer is a site or findings with places.
+    #[test]
+    fn no_text_brings_the_check_down(at in 0..TEMPLATE.len(), length in 0usize..80, put in ".{0,12}") {
+        let (mut from, mut to) = (at, (at + length).min(TEMPLATE.len()));
+        while !TEMPLATE.is_char_boundary(from) { from -= 1; }
+        while !TEMPLATE.is_char_boundary(to) { to += 1; }
+        let text = format!("{}{put}{}", &TEMPLATE[..from], &TEMPLATE[to..]);
+        if let Err(found) = parse(Path::new("site.toml"), &text) {
+            prop_assert!(!found.is_empty() && found.iter().all(|f| f.place.is_some()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,195 @@
+//! An HTTP/1.1 server that does what a closure says with each request, wrong things included.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A request that is longer than this is not read: its connection ends.
+const LONGEST_BODY: usize = 16 << 20;
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// `POST`, say.
+    pub method: String,
+    /// With the query.
+    pub path: String,
+    /// By names in lower case; of a header that stands twice, the last.
+    pub headers: HashMap<String, String>,
+    /// Any bytes.
+    pub body: Vec<u8>,
+    /// When its last byte had come.
+    pub at: Instant,
+    /// Number of the connection it came on.
+    pub connection: usize,
+}
+
+impl Request {
+    /// Its `X-Request-Id`, empty if it has none.
+    pub fn id(&self) -> &str {
+        self.headers.get("x-request-id").map_or("", String::as_str)
+    }
+}
+
+/// What a stand-in does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Answers with a status and header lines.
+    Status(u16, &'static str),
+    /// The same, with header lines made for this answer.
+    Headers(u16, String),
+    /// Answers with a body.
+    Body(Vec<u8>),
+    /// Writes these bytes, whatever they mean.
+    Raw(&'static [u8]),
+    /// Answers 200 and closes the connection without having said so.
+    OkAndClose,
+    /// Answers after a while.
+    Later(Duration, u16),
+    /// Never answers; keeps the connection open.
+    Silence,
+    /// Closes the connection without an answer.
+    Close,
+}
+
+/// Answers 200 at once.
+pub const OK: Reply = Reply::Status(200, "");
+
+type Behaviour = Box<dyn Fn(&Request) -> Reply + Send + Sync>;
+
+/// An HTTP server with a thread for each connection. Its port is freed when the process ends.
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Mutex<Vec<Request>>,
+    records: bool,
+    /// Connections closed after an answer.
+    pub closed: AtomicUsize,
+    behaviour: Mutex<Arc<Behaviour>>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn read_request(stream: &mut BufReader<TcpStream>, connection: usize) -> Option<Request> {
+    let mut line = String::new();
+    stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    let mut words = line.split_whitespace();
+    let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_lowercase(), value.trim().to_string());
+    }
+    let length = match headers.get("content-length") {
+        Some(text) => text.parse().ok().filter(|n| *n <= LONGEST_BODY)?,
+        None => 0,
+    };
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Request { method, path, headers, body, at: Instant::now(), connection })
+}
+
+impl Server {
+    /// Starts one on a port of its own, which keeps every request that it sees.
+    ///
+    /// # Panics
+    /// There is no port or descriptor left.
+    pub fn start(behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
+        Server::launch(Box::new(behaviour), true)
+    }
+
+    /// The same, which keeps nothing of what it sees.
+    ///
+    /// # Panics
+    /// There is no port or descriptor left.
+    pub fn start_forgetful(behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
+        Server::launch(Box::new(behaviour), false)
+    }
+
+    fn launch(behaviour: Behaviour, records: bool) -> Arc<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
+        let server = Arc::new(Server {
+            address: listener.local_addr().expect("the address of a bound socket"),
+            seen: Mutex::default(),
+            records,
+            closed: AtomicUsize::new(0),
+            behaviour: Mutex::new(Arc::new(behaviour)),
+        });
+        let shared = server.clone();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                // Out of descriptors: the next one may fit again.
+                let Ok(stream) = stream else {
+                    thread::sleep(Duration::from_millis(20));
+                    continue;
+                };
+                let server = shared.clone();
+                thread::spawn(move || server.serve(stream, connection));
+            }
+        });
+        server
+    }
+
+    fn serve(&self, mut stream: TcpStream, connection: usize) {
+        let Ok(reading) = stream.set_nodelay(true).and_then(|()| stream.try_clone()) else { return };
+        let mut reader = BufReader::new(reading);
+        while let Some(request) = read_request(&mut reader, connection) {
+            if self.records {
+                locked(&self.seen).push(request.clone());
+            }
+            let behaviour = locked(&self.behaviour).clone();
+            let status = |status: u16, headers: &str, body: &[u8]| {
+                let head =
+                    format!("HTTP/1.1 {status} Told\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+                [head.as_bytes(), body].concat()
+            };
+            let answer = match behaviour(&request) {
+                Reply::Status(code, headers) => status(code, headers, b""),
+                Reply::Headers(code, headers) => status(code, &headers, b""),
+                Reply::Body(body) => status(200, "", &body),
+                Reply::Raw(bytes) => bytes.to_vec(),
+                Reply::Later(after, code) => {
+                    thread::sleep(after);
+                    status(code, "", b"")
+                }
+                Reply::OkAndClose => {
+                    let _ = stream.write_all(&status(200, "", b""));
+                    let _ = stream.shutdown(Shutdown::Both);
+                    self.closed.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+                Reply::Silence => {
+                    let _ = reader.read_to_end(&mut Vec::new());
+                    return;
+                }
+                Reply::Close => return,
+            };
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Behaves otherwise from the next request on.
+    pub fn behave(&self, behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) {
+        *locked(&self.behaviour) = Arc::new(Box::new(behaviour));
+    }
+
+    /// The requests so far.
+    pub fn seen(&self) -> Vec<Request> {
+        locked(&self.seen).clone()
+    }
+
+    /// Their ids.
+    pub fn ids(&self) -> Vec<String> {
+        locked(&self.seen).iter().map(|r| r.id().to_string()).collect()
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/cli/show.rs
@@ -0,0 +1,279 @@
+//! Answers as text for people: aligned columns, units, nothing that a control character of a message's id could
+//! bring into a terminal.
+
+use foldtrack_control::{Done, Endpoint, Failure, Message, Partner, Queue, Status, Told};
+use std::time::{Duration, UNIX_EPOCH};
+
+pub(super) fn text(told: &Told) -> String {
+    match told {
+        Told::Status(status) => self::status(status),
+        Told::Partners(partners) => self::partners(partners),
+        Told::Endpoints(endpoints) => self::endpoints(endpoints),
+        Told::Queues(queues) => self::queues(queues),
+        Told::Failures(failures) => self::failures(failures),
+        Told::Message(message) => self::message(message),
+        Told::Done(done) => self::done(done),
+        Told::Changed { status, .. } => self::status(status),
+        Told::Error(error) => format!("{}\n", plain(&error.text)),
+    }
+}
+
+/// Without control characters.
+pub(super) fn plain(text: &str) -> String {
+    text.chars()
+        .flat_map(|c| if c.is_control() { c.escape_default().collect::<Vec<_>>() } else { vec![c] })
+        .collect()
+}
+
+/// Columns under a head, as wide as they need: texts to the left, numbers to the right.
+pub(super) fn table(head: &[&str], rows: &[Vec<String>], none: &str) -> String {
+    if rows.is_empty() {
+        return format!("{none}\n");
+    }
+    let rows: Vec<Vec<String>> =
+        rows.iter().map(|row| row.iter().map(|cell| plain(cell)).collect()).collect();
+    let width =
+        |n: usize| rows.iter().map(|r| r[n].chars().count()).max().unwrap_or(0).max(head[n].chars().count());
+    let number = |n: usize| {
+        let digits = |cell: &String| cell.starts_with(|c: char| c.is_ascii_digit() || c == '-');
+        rows.iter().all(|r| digits(&r[n]))
+            && !["address", "at", "message", "key", "endpoint", "name"].contains(&head[n])
+    };
+    let shape: Vec<(usize, bool)> = (0..head.len()).map(|n| (width(n), number(n))).collect();
+    let line = |cells: &mut dyn Iterator<Item = &str>| {
+        let cells = cells.zip(&shape).map(|(cell, (width, right))| match right {
+            true => format!("{cell:>width$}"),
+            false => format!("{cell:<width$}"),
+        });
+        format!("{}\n", cells.collect::<Vec<_>>().join("  ").trim_end())
+    };
+    let mut text = line(&mut head.iter().copied());
+    rows.iter().for_each(|row| text.push_str(&line(&mut row.iter().map(String::as_str))));
+    text
+}
+
+pub(super) fn span(ms: u64) -> String {
+    match ms {
+        0 => "-".into(),
+        1..=999 => format!("{ms}ms"),
+        1000..=59_999 => format!("{:.1}s", ms as f64 / 1e3),
+        60_000..=3_599_999 => format!("{}m{:02}s", ms / 60_000, ms / 1000 % 60),
+        _ => format!("{}h{:02}m", ms / 3_600_000, ms / 60_000 % 60),
+    }
+}
+
+fn bytes(count: u64) -> String {
+    match count {
+        0..=9_999 => format!("{count} B"),
+        10_000..=9_999_999 => format!("{:.1} KiB", count as f64 / 1024.0),
+        _ => format!("{:.1} MiB", count as f64 / 1_048_576.0),
+    }
+}
+
+fn number(value: f64) -> String {
+    if value > 0.0 {
+        format!("{value:.1}")
+    } else {
+        "-".into()
+    }
+}
+
+/// A time of day in UTC.
+fn time(unix_us: u64) -> String {
+    let at = UNIX_EPOCH + Duration::from_micros(unix_us);
+    humantime::format_rfc3339_millis(at).to_string()
+}
+
+fn status(s: &Status) -> String {
+    let line = |name: &str, text: String| format!("{name:<10}{text}\n");
+    let mut text = line(
+        "site",
+        format!(
+            "{} (foldtrack {}, process {}, up {})",
+            plain(&s.name),
+            s.program,
+            s.pid,
+            span(s.up_ms.max(1))
+        ),
+    );
+    text += &line("stage", s.stage.clone());
+    text += &line("taken", format!("{} taken on, {} refused", s.taken, s.refused));
+    text += &line(
+        "ended",
+        format!(
+            "{} delivered, {} given up, {} in doubt, {} handed back; {} attempts failed",
+            s.delivered, s.given_up, s.in_doubt, s.handed_back, s.failures
+        ),
+    );
+    text += &line(
+        "held",
+        format!(
+            "{} of {} messages, {} of {}, the oldest for {}",
+            s.held,
+            s.held_most,
+            bytes(s.held_bytes),
+            bytes(s.held_bytes_most),
+            span(s.oldest_ms)
+        ),
+    );
+    text += &line("calls", format!("{} of {} out", s.calls, s.calls_most));
+    text += &line("journal", format!("{} of {}", bytes(s.journal_bytes), bytes(s.journal_most)));
+    text += &line(
+        "ends",
+        format!(
+            "{} kept, {} of {} not fetched yet, {} of {}",
+            s.ends,
+            s.ends_unfetched,
+            s.ends_most,
+            bytes(s.ends_bytes),
+            bytes(s.ends_bytes_most)
+        ),
+    );
+    if s.ends_unwritten > 0 {
+        text += &line("trouble", format!("{} ends can't be written: is the disk full?", s.ends_unwritten));
+    }
+    text
+}
+
+fn partners(partners: &[Partner]) -> String {
+    let row = |p: &Partner| {
+        vec![
+            p.name.clone(),
+            if p.paused { "paused".into() } else { p.health.clone() },
+            format!("{}/{}", p.open, p.endpoints),
+            p.held.to_string(),
+            span(p.oldest_ms),
+            p.calls.to_string(),
+            number(p.window),
+            number(p.mean_ms),
+            number(p.tau_ms),
+            span(p.wait_ms),
+            number(p.rate),
+            p.delivered.to_string(),
+            p.failures.to_string(),
+        ]
+    };
+    let head = [
+        "name",
+        "health",
+        "open",
+        "held",
+        "oldest",
+        "calls",
+        "window",
+        "mean ms",
+        "tau ms",
+        "wait",
+        "rate/s",
+        "delivered",
+        "failed",
+    ];
+    table(&head, &partners.iter().map(row).collect::<Vec<_>>(), "no partners")
+}
+
+fn endpoints(endpoints: &[Endpoint]) -> String {
+    let row = |e: &Endpoint| {
+        vec![
+            e.name.clone(),
+            e.partner.clone(),
+            e.address.clone(),
+            e.state.clone(),
+            e.health.clone(),
+            e.calls.to_string(),
+            number(e.window),
+            number(e.tau_ms),
+            span(e.wait_ms),
+            span(e.closed_ms),
+        ]
+    };
+    let head =
+        ["name", "partner", "address", "state", "health", "calls", "window", "tau ms", "wait", "closed for"];
+    table(&head, &endpoints.iter().map(row).collect::<Vec<_>>(), "no endpoints")
+}
+
+fn queues(queues: &[Queue]) -> String {
+    let row = |q: &Queue| {
+        let key = if q.key.is_empty() { "-" } else { &q.key };
+        vec![q.partner.clone(), key.to_string(), q.held.to_string(), span(q.oldest_ms)]
+    };
+    table(
+        &["partner", "key", "held", "oldest"],
+        &queues.iter().map(row).collect::<Vec<_>>(),
+        "nothing is held",
+    )
+}
+
+fn failures(failures: &[Failure]) -> String {
+    let row = |f: &Failure| {
+        vec![
+            time(f.at),
+            f.message.clone(),
+            f.class.clone(),
+            f.endpoint.clone(),
+            f.attempt.to_string(),
+            f.outcome.clone(),
+            if f.may_have_run { "may have run" } else { "did not run" }.into(),
+            f.then.clone(),
+        ]
+    };
+    let head = ["at", "message", "class", "endpoint", "attempt", "outcome", "effect", "then"];
+    table(&head, &failures.iter().map(row).collect::<Vec<_>>(), "no attempt has failed lately")
+}
+
+fn message(m: &Message) -> String {
+    let mut text = format!("{}  {}  {} to {}", plain(&m.id), m.state, plain(&m.class), plain(&m.partner));
+    if !m.key.is_empty() {
+        text += &format!(", key {}", plain(&m.key));
+    }
+    text += &format!("\ntaken on  {}\n", time(m.taken));
+    let rows: Vec<Vec<String>> = m
+        .attempts
+        .iter()
+        .enumerate()
+        .map(|(n, a)| {
+            let took = if a.until > a.at { span(((a.until - a.at) / 1000).max(1)) } else { "-".into() };
+            let effect = match (a.outcome.as_str(), a.may_have_run) {
+                ("ok", _) => "ran",
+                (_, true) => "may have run",
+                (_, false) => "did not run",
+            };
+            let endpoint = if a.endpoint.is_empty() { "?" } else { &a.endpoint };
+            vec![
+                (n + 1).to_string(),
+                time(a.at),
+                endpoint.to_string(),
+                a.outcome.clone(),
+                took,
+                effect.into(),
+            ]
+        })
+        .collect();
+    text += &table(&["attempt", "at", "endpoint", "outcome", "took", "effect"], &rows, "no attempt yet");
+    match (m.ended, m.expires) {
+        (0, expires) => text += &format!("given up at {}\n", time(expires)),
+        (ended, _) => text += &format!("ended     {}  {}\n", time(ended), m.state),
+    }
+    if m.retry_in_ms > 0 {
+        text += &format!("come again after {}\n", span(m.retry_in_ms));
+    }
+    text
+}
+
+fn done(d: &Done) -> String {
+    let what = if d.changed { "done" } else { "it was so already" };
+    format!("{what}; {} calls still out, {} messages held for the partner\n", d.calls, d.held)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn columns_align_and_control_characters_stay_out_of_the_terminal() {
+        let rows = vec![vec!["a\u{1b}[2J".to_string(), "7".into()], vec!["long name".into(), "123".into()]];
+        let text = table(&["name", "held"], &rows, "none");
+        assert_eq!(text, "name        held\na\\u{1b}[2J     7\nlong name    123\n");
+        assert_eq!(table(&["name"], &[], "none"), "none\n");
+        assert_eq!((span(0), span(1500), span(61_000)), ("-".into(), "1.5s".into(), "1m01s".into()));
+    }
+}
--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::door::{Answer, Input, Inputs, Stage};
+use crate::ends_api::{self, Fronts};
 use crate::message::Message;
 use crate::streams::{HeadScan, Scanned};
 use bytes::Bytes;
@@ -48,6 +49,8 @@
     pub stage: watch::Receiver<Stage>,
     /// Bytes of bodies that may still be read before their messages are handed on.
     pub bodies: Semaphore,
+    /// At a site of its own: what else may be asked.
+    pub fronts: Option<Fronts>,
 }
 
 /// What a connection is doing.
@@ -188,7 +191,7 @@
         async move {
             let mut response = answer(request, sound, &desk).await;
             if places.are_crowded() {
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                response = closing(response);
             }
             places.does(number, Doing::Idle);
             Ok::<_, Infallible>(response)
@@ -229,18 +232,33 @@
 async fn answer(request: Request<Incoming>, sound: bool, desk: &Desk) -> Response<Full<Bytes>> {
     // What follows on the connection can't be told apart behind a chunked body; see `streams`.
     let last = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = match (request.method(), request.uri().path()) {
+    let response = match (request.method(), request.uri().path()) {
         _ if !sound => plain(StatusCode::BAD_REQUEST),
         (&Method::GET, "/healthz") => plain(StatusCode::OK),
+        (&Method::GET, path) if path.starts_with("/v1/") => {
+            let Some(fronts) = &desk.fronts else { return closing(plain(StatusCode::NOT_FOUND)) };
+            match path.strip_prefix("/v1/messages/") {
+                Some(id) => ends_api::message(id, &desk.inputs).await,
+                None if path == "/v1/ends" => {
+                    ends_api::ends(request.uri().query().unwrap_or(""), fronts, &desk.inputs).await
+                }
+                None => plain(StatusCode::NOT_FOUND),
+            }
+        }
         _ => hand_in(request, desk).await.unwrap_or_else(plain),
     };
     // A client that sends what is wrong does not get to go on at once.
     if last || response.status().is_client_error() || *desk.stage.borrow() != Stage::Serving {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return closing(response);
     }
     response
 }
 
+fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Hands a message to the node and waits for what becomes of it.
 async fn hand_in(request: Request<Incoming>, desk: &Desk) -> Result<Response<Full<Bytes>>, StatusCode> {
     let message = read(request, desk).await?;
@@ -287,8 +305,20 @@
         Ok(Some(value.ok_or(BAD)?.trim().to_string()))
     };
     let id = header("X-Request-Id")?.filter(|id| !id.is_empty()).ok_or(BAD)?;
-    let left = header("X-Deadline")?.and_then(|t| span(&t)).filter(|l| *l <= rules.deadline).ok_or(BAD)?;
-    let destination = header("X-Consignee")?.and_then(|t| destination(&t)).ok_or(BAD)?;
+    let told = header("X-Deadline")?;
+    let (left, destination) = match &desk.fronts {
+        None => {
+            let destination = header("X-Consignee")?.and_then(|t| destination(&t)).ok_or(BAD)?;
+            (told.and_then(|t| span(&t)), destination)
+        }
+        // A site's clients name partners, and need not know what the class says.
+        Some(fronts) => {
+            let partner = header("X-Partner")?.ok_or(BAD)?;
+            let number = fronts.partners.get(&partner).ok_or(StatusCode::NOT_FOUND)?;
+            (told.map_or(Some(rules.deadline), |t| span(&t)), *number)
+        }
+    };
+    let left = left.filter(|l| *l <= rules.deadline).ok_or(BAD)?;
     let idempotency_key = header("Idempotency-Key")?;
     if rules.effect == Effect::Keyed && idempotency_key.is_none() {
         return Err(BAD);
--- a/src/bin/foldtrack/clock.rs
+++ b/src/bin/foldtrack/clock.rs
@@ -24,6 +24,11 @@
         Self::BASE + self.start.elapsed().as_micros() as Micros
     }
 
+    /// Since the start.
+    pub fn up(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     pub fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(Self::BASE))
     }
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -1,24 +1,36 @@
 //! What the forwarder is told at its start: the environment and the configuration file.
 
 use crate::list::ServerList;
+use crate::membership::Membership;
+use crate::platform::Agent;
+use foldtrack_ends::Store;
+use foldtrack_site::Site;
 use hatchline::settings::Parsed;
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use tokio::sync::watch;
 
-#[derive(Debug)]
 pub(crate) struct Config {
-    pub path: PathBuf,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
     pub memory_bytes: usize,
     pub disk_bytes: u64,
-    pub known: ServerList,
     pub settings: Parsed,
+    pub membership: Box<dyn Membership>,
+    /// The platform's taker of notices; none at a site of its own.
+    pub discovery: Option<watch::Sender<SocketAddr>>,
+    /// What only a site of its own has.
+    pub site: Option<SiteParts>,
+}
+
+/// What the loop of a site of its own has beside a platform's.
+pub(crate) struct SiteParts {
+    pub site: Site,
+    pub ends: Store,
 }
 
 #[derive(Deserialize)]
@@ -70,7 +82,8 @@
 }
 
 impl Config {
-    pub fn load() -> Result<Config, String> {
+    /// What the platform tells, and the path of its file.
+    pub fn of_platform() -> Result<(Config, PathBuf), String> {
         let path = variable("BALANCER_CONFIG")?;
         let file = read(Path::new(&path))?;
         let disk_bytes = file.limits.disk_mb * 1e6;
@@ -80,18 +93,20 @@
         if file.settings.settings.classes.is_empty() || file.settings.settings.slots == 0 {
             return Err(format!("{path}: settings without classes or without slots"));
         }
-        Ok(Config {
+        let discovery = watch::Sender::new(address("BALANCER_DISCOVERY", file.discovery)?);
+        let config = Config {
             listen: address("BALANCER_LISTEN", file.listen)?,
-            discovery: address("BALANCER_DISCOVERY", file.discovery)?,
             state: PathBuf::from(variable("BALANCER_STATE")?),
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
             sockets: file.limits.sockets,
             memory_bytes: (file.limits.memory_mb * 1e6) as usize,
             disk_bytes: disk_bytes as u64,
-            known: file.known,
             settings: file.settings,
-            path: PathBuf::from(path),
-        })
+            membership: Box::new(Agent { discovery: discovery.clone(), known: file.known }),
+            discovery: Some(discovery),
+            site: None,
+        };
+        Ok((config, PathBuf::from(path)))
     }
 }
--- /dev/null
+++ b/src/bin/foldtrack/control.rs
@@ -0,0 +1,306 @@
+//! The serving side of the control line, on a thread and a runtime of its own: what readers do, and how slowly, is
+//! nothing to the loop. The loop is asked for a picture a few times a second at most, whoever wants to see it.
+
+use crate::door::{Ask as Front, Input, Inputs, Picture};
+use foldtrack_control::lines::{Lines, Unreadable, LONGEST};
+use foldtrack_control::protocol::read;
+use foldtrack_control::{Ask, Error, Reply, Request, Told, MOST_LINES, VERSION};
+use foldtrack_membership::Order;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::os::unix::net::UnixListener;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener as Listener, UnixStream};
+use tokio::sync::{oneshot, Mutex, Notify};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// Readers at once. Beyond that the one goes that has said nothing for longest.
+const READERS: usize = 32;
+/// A picture is shown for so long before another is asked for.
+const FRESH: Duration = Duration::from_millis(200);
+/// Requests of one reader: so many at once, and one more each time that this span has passed.
+const BURST: u32 = 20;
+const PACE: Duration = Duration::from_millis(50);
+/// A reader that does not read for so long goes.
+const SLOW: Duration = Duration::from_secs(10);
+const USUAL_PUSH: u32 = 1000;
+const LEAST_PUSH: u32 = 200;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Binds the socket of a state folder whose lock is held: a file that stands there is a dead process's.
+pub(crate) fn bind(path: &Path) -> Result<UnixListener, String> {
+    let told = |e: io::Error| format!("{}: {e}", path.display());
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() != ErrorKind::NotFound => return Err(told(e)),
+        _ => {}
+    }
+    // Nobody else may connect from the first moment on; no other thread runs yet that makes files.
+    let before = rustix::process::umask(rustix::fs::Mode::from_raw_mode(0o177));
+    let bound = UnixListener::bind(path);
+    rustix::process::umask(before);
+    let listener = bound.map_err(told)?;
+    listener.set_nonblocking(true).map_err(told)?;
+    Ok(listener)
+}
+
+/// Serves the control line from now on.
+pub(crate) fn start(listener: UnixListener, inputs: Inputs) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("control line: {e}"))?;
+    let serve = move || {
+        runtime.block_on(async move {
+            match Listener::from_std(listener) {
+                Ok(listener) => accept(listener, inputs).await,
+                Err(e) => eprintln!("control line: {e}"),
+            }
+        })
+    };
+    let thread = std::thread::Builder::new().name("control".into()).spawn(serve);
+    thread.map(drop).map_err(|e| format!("control line: {e}"))
+}
+
+/// The last picture, and the last with queues.
+#[derive(Default)]
+struct Last {
+    plain: Option<Arc<Picture>>,
+    with_queues: Option<Arc<Picture>>,
+}
+
+/// What all readers share.
+struct Line {
+    inputs: Inputs,
+    pictures: Mutex<Last>,
+    /// When the last order was carried out: no picture that is older is shown.
+    ordered: std::sync::Mutex<Option<Instant>>,
+    readers: std::sync::Mutex<BTreeMap<u64, (Instant, Arc<Notify>)>>,
+}
+
+async fn accept(listener: Listener, inputs: Inputs) {
+    let uid = rustix::process::geteuid().as_raw();
+    let line = Arc::new(Line {
+        inputs,
+        pictures: Mutex::default(),
+        ordered: Default::default(),
+        readers: std::sync::Mutex::default(),
+    });
+    for number in 0.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(_) => {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // The mode of the socket says so too; a descriptor may have been passed on.
+        let allowed = stream.peer_cred().is_ok_and(|peer| peer.uid() == uid || peer.uid() == 0);
+        if !allowed {
+            continue;
+        }
+        let leave = Arc::new(Notify::new());
+        line.enter(number, &leave);
+        let (line, leave) = (line.clone(), leave);
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = serve(stream, number, &line) => {}
+                () = leave.notified() => {}
+            }
+            line.locked().remove(&number);
+        });
+    }
+}
+
+impl Line {
+    fn locked(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, (Instant, Arc<Notify>)>> {
+        self.readers.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn enter(&self, number: u64, leave: &Arc<Notify>) {
+        let mut readers = self.locked();
+        if readers.len() >= READERS {
+            let quietest = readers.iter().min_by_key(|(_, (heard, _))| *heard).map(|(number, _)| *number);
+            if let Some((_, leave)) = quietest.and_then(|n| readers.remove(&n)) {
+                leave.notify_one();
+            }
+        }
+        readers.insert(number, (Instant::now(), leave.clone()));
+    }
+
+    fn heard(&self, number: u64) {
+        if let Some((heard, _)) = self.locked().get_mut(&number) {
+            *heard = Instant::now();
+        }
+    }
+
+    /// A picture that is fresh, and not older than the last order.
+    async fn picture(&self, queues: bool) -> Option<Arc<Picture>> {
+        // While one asks, the others wait here and get the same.
+        let mut pictures = self.pictures.lock().await;
+        let last = if queues { &mut pictures.with_queues } else { &mut pictures.plain };
+        let from = *self.ordered.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let fresh = |p: &&Arc<Picture>| p.at.elapsed() < FRESH && from.is_none_or(|from| p.at >= from);
+        if let Some(picture) = last.as_ref().filter(fresh) {
+            return Some(picture.clone());
+        }
+        let (reply, answer) = oneshot::channel();
+        self.inputs.send(Input::Site(Front::Picture { queues, reply }));
+        let picture = answer.await.ok()?;
+        *last = Some(picture.clone());
+        Some(picture)
+    }
+}
+
+async fn serve(mut stream: UnixStream, number: u64, line: &Line) -> io::Result<()> {
+    let mut lines = Lines::new(LONGEST);
+    let mut bytes = vec![0; 16 * 1024];
+    let mut due = Instant::now();
+    loop {
+        let count = stream.read(&mut bytes).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        line.heard(number);
+        for read_line in lines.push(&bytes[..count]) {
+            // A reader that asks all the time waits its turn, and what it sends next waits in its socket.
+            let now = Instant::now();
+            due = due.max(now - BURST * PACE) + PACE;
+            sleep_until(due - PACE).await;
+            let request = match read_line {
+                Ok(text) => read(&text),
+                Err(Unreadable::NotText) => {
+                    Err(Box::new(Reply::error(Value::Null, "unreadable", "the line is not UTF-8")))
+                }
+                Err(Unreadable::TooLong) => {
+                    let text = format!("a line has {LONGEST} bytes at most");
+                    write(&mut stream, &Reply::error(Value::Null, "too_long", text)).await?;
+                    return Ok(());
+                }
+            };
+            match request {
+                Ok(Request { id, ask: Ask::Subscribe { every_ms }, .. }) => {
+                    let every = every_ms.unwrap_or(USUAL_PUSH).max(LEAST_PUSH);
+                    return push(stream, id, Duration::from_millis(every.into()), line).await;
+                }
+                Ok(Request { id, ask, .. }) => {
+                    let told = answer(ask, line).await;
+                    write(&mut stream, &Reply { v: VERSION, id, told }).await?;
+                }
+                Err(refusal) => write(&mut stream, &refusal).await?,
+            }
+        }
+    }
+}
+
+async fn write(stream: &mut UnixStream, reply: &Reply) -> io::Result<()> {
+    timeout(SLOW, stream.write_all(reply.line().as_bytes())).await?
+}
+
+/// Pushes what has changed until the reader goes. A slow one gets fewer pushes, each the latest.
+async fn push(mut stream: UnixStream, id: Value, every: Duration, line: &Line) -> io::Result<()> {
+    let mut last: Option<Arc<Picture>> = None;
+    let mut bytes = [0; 1024];
+    loop {
+        let Some(picture) = line.picture(false).await else { return Ok(()) };
+        let same = |p: &Arc<Picture>| {
+            let still = |p: &Picture| foldtrack_control::Status {
+                at: 0,
+                up_ms: 0,
+                oldest_ms: 0,
+                longest_round_us: 0,
+                ..p.status.clone()
+            };
+            still(p) == still(&picture) && p.partners == picture.partners && p.endpoints == picture.endpoints
+        };
+        if !last.as_ref().is_some_and(same) {
+            let told = Told::Changed {
+                status: Box::new(picture.status.clone()),
+                partners: picture.partners.clone(),
+                endpoints: picture.endpoints.clone(),
+            };
+            write(&mut stream, &Reply { v: VERSION, id: id.clone(), told }).await?;
+            last = Some(picture);
+        }
+        tokio::select! {
+            () = sleep(every) => {}
+            // What a subscriber says is passed over; that it has gone is not.
+            read = stream.read(&mut bytes) => if read? == 0 { return Ok(()) } else { sleep(every).await },
+        }
+    }
+}
+
+fn error(code: &str, text: &str) -> Told {
+    Told::Error(Error { code: code.into(), text: text.into() })
+}
+
+/// Answers one request.
+async fn answer(ask: Ask, line: &Line) -> Told {
+    let ending = || error("busy", "the forwarder is ending");
+    let order = match ask {
+        Ask::Status | Ask::Partners | Ask::Endpoints | Ask::Failures { .. } | Ask::Queues { .. } => {
+            let queues = matches!(ask, Ask::Queues { .. });
+            let Some(picture) = line.picture(queues).await else { return ending() };
+            return show(ask, &picture);
+        }
+        Ask::Message { message } => {
+            let (reply, answer) = oneshot::channel();
+            line.inputs.send(Input::Site(Front::Message { id: message.clone(), reply }));
+            return match answer.await {
+                Ok(Some(message)) => Told::Message(Box::new(message)),
+                Ok(None) => error("unknown_message", &format!("nothing is known of {message:?}")),
+                Err(_) => ending(),
+            };
+        }
+        Ask::Stop => {
+            line.inputs.send(Input::Terminate);
+            let version = line.picture(false).await.map_or(0, |p| p.status.membership);
+            return Told::Done(foldtrack_control::Done { changed: true, version, calls: 0, held: 0 });
+        }
+        Ask::Add { partner, endpoint, address } => {
+            let read = foldtrack_site::check::name(&endpoint)
+                .and_then(|()| foldtrack_site::check::address(&address));
+            match read {
+                Ok(address) => Order::Add { partner, endpoint, address },
+                Err(problem) => return error("refused", &problem),
+            }
+        }
+        Ask::Drain { endpoint } => Order::Drain { endpoint },
+        Ask::Remove { endpoint } => Order::Remove { endpoint },
+        Ask::Pause { partner } => Order::PausePartner { partner },
+        Ask::Resume { endpoint: Some(endpoint), partner: None } => Order::Resume { endpoint },
+        Ask::Resume { endpoint: None, partner: Some(partner) } => Order::ResumePartner { partner },
+        Ask::Resume { .. } => {
+            return error("unreadable", "resume names an endpoint or a partner, one of the two")
+        }
+        Ask::Subscribe { .. } => return error("unreadable", "already read elsewhere"),
+    };
+    let (reply, answer) = oneshot::channel();
+    line.inputs.send(Input::Site(Front::Order { order, reply }));
+    let told = match answer.await {
+        Ok(Ok(done)) => Told::Done(done),
+        Ok(Err(refused)) => Told::Error(refused),
+        Err(_) => ending(),
+    };
+    *line.ordered.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(Instant::now());
+    told
+}
+
+fn show(ask: Ask, picture: &Picture) -> Told {
+    let most = |most: Option<u32>| most.unwrap_or(MOST_LINES).min(MOST_LINES) as usize;
+    match ask {
+        Ask::Status => Told::Status(Box::new(picture.status.clone())),
+        Ask::Partners => Told::Partners(picture.partners.clone()),
+        Ask::Endpoints => Told::Endpoints(picture.endpoints.clone()),
+        Ask::Failures { most: lines } => {
+            Told::Failures(picture.failures.iter().take(most(lines)).cloned().collect())
+        }
+        Ask::Queues { partner, most: lines } => {
+            let queues = picture.queues.iter().flatten();
+            let of = |q: &&foldtrack_control::Queue| partner.as_ref().is_none_or(|p| *p == q.partner);
+            Told::Queues(queues.filter(of).take(most(lines)).cloned().collect())
+        }
+        _ => error("unreadable", "nothing to show"),
+    }
+}
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -3,9 +3,13 @@
 
 use crate::connections::Connection;
 use crate::list::ServerList;
-use crate::message::Message;
+use crate::message;
+use foldtrack_control::{Done, Endpoint, Error, Failure, Message, Partner, Queue, Status};
+use foldtrack_ends::Fetched;
+use foldtrack_membership::Order;
 use hatchline::{LimitReport, Outcome, TargetId};
 use hyper::StatusCode;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,7 +55,7 @@
 /// What happens to the node.
 pub(crate) enum Input {
     HandIn {
-        message: Arc<Message>,
+        message: Arc<message::Message>,
         reply: oneshot::Sender<Answer>,
     },
     Answered {
@@ -72,6 +76,32 @@
     /// Discovery is there from now on.
     Discovery(SocketAddr),
     Terminate,
+    /// Of a site of its own: everything below.
+    Site(Ask),
+}
+
+/// What fronts of a site ask the node. Each has one answer.
+pub(crate) enum Ask {
+    /// Ends after a cursor, which acknowledges those up to it unless the client only peeks.
+    Ends { after: Option<u64>, peek: bool, most: usize, reply: oneshot::Sender<io::Result<Fetched>> },
+    /// What is known of a message.
+    Message { id: String, reply: oneshot::Sender<Option<Message>> },
+    /// A picture of all.
+    Picture { queues: bool, reply: oneshot::Sender<Arc<Picture>> },
+    /// An order. The answer comes when it is on the disk.
+    Order { order: Order, reply: oneshot::Sender<Result<Done, Error>> },
+}
+
+/// What there is to see at a moment.
+#[derive(Debug)]
+pub(crate) struct Picture {
+    pub at: Instant,
+    pub status: Status,
+    pub partners: Vec<Partner>,
+    pub endpoints: Vec<Endpoint>,
+    pub failures: Vec<Failure>,
+    /// The longest of them, if they were asked for.
+    pub queues: Option<Vec<Queue>>,
 }
 
 /// The way to the node. The queue has no bound of its own: each connection and each call has one input under
--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -35,6 +35,9 @@
     pub state: ServerState,
     #[serde(default)]
     pub weight: f64,
+    /// Calls out to its destination at most. Discovery tells none; a site file may.
+    #[serde(skip)]
+    pub slots: Option<u32>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -2,16 +2,21 @@
 //! and the platform.
 #![warn(missing_docs)]
 
+mod cli;
 mod clients;
 mod clock;
 mod config;
 mod connections;
+mod control;
 mod door;
+mod ends_api;
 mod list;
+mod membership;
 mod message;
 mod node;
 mod notices;
 mod platform;
+mod serve;
 mod streams;
 mod table;
 mod targets;
@@ -21,7 +26,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 
 /// A configuration that cannot be read may be half written: it is read again so often, after such a pause.
@@ -45,29 +52,39 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, path: PathBuf) -> Result<(), String> {
     let (inputs, receiver) = door::channel();
-    let signals = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-    let hangup = signals(SignalKind::hangup())?;
-    let mut terminate = signals(SignalKind::terminate())?;
-    tokio::spawn(reload(hangup, config.path.clone(), inputs.clone()));
-    let to_node = inputs.clone();
-    tokio::spawn(async move {
-        while terminate.recv().await.is_some() {
-            to_node.send(Input::Terminate);
-        }
-    });
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    tokio::spawn(reload(hangup, path, inputs.clone()));
+    serve_until_told(config, inputs, receiver, &[SignalKind::terminate()]).await
+}
+
+/// Runs the loop, and ends it at one of these signals.
+async fn serve_until_told(
+    config: Config, inputs: Inputs, receiver: UnboundedReceiver<Input>, ends: &[SignalKind],
+) -> Result<(), String> {
+    for kind in ends {
+        let mut told = signal(*kind).map_err(|e| format!("signals: {e}"))?;
+        let to_node = inputs.clone();
+        tokio::spawn(async move {
+            while told.recv().await.is_some() {
+                to_node.send(Input::Terminate);
+            }
+        });
+    }
     let (listen, state) = (config.listen, config.state.clone());
     let end = node::run(config, inputs, receiver).await;
     end.map_err(|e| format!("listening on {listen} with the state in {}: {e}", state.display()))
 }
 
-fn main() -> ExitCode {
-    let end = Config::load().and_then(|config| {
-        // One thread: the forwarder has one core.
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        runtime.map_err(|e| e.to_string())?.block_on(run(config))
-    });
+/// One thread: the forwarder has one core.
+fn runtime() -> Result<Runtime, String> {
+    Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+}
+
+/// As the platform starts it: without a word, all that it is told stands in the environment.
+fn serve_platform() -> ExitCode {
+    let end = Config::of_platform().and_then(|(config, path)| runtime()?.block_on(run(config, path)));
     match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -76,3 +93,17 @@
         }
     }
 }
+
+fn main() -> ExitCode {
+    if std::env::args_os().len() > 1 {
+        return cli::main();
+    }
+    if std::env::var_os("BALANCER_CONFIG").is_none() {
+        eprintln!(
+            "foldtrack: BALANCER_CONFIG is not set, by which a platform starts it; for a site of your own:"
+        );
+        eprintln!("  foldtrack init site.toml && foldtrack serve --site site.toml     (foldtrack --help tells more)");
+        return ExitCode::FAILURE;
+    }
+    serve_platform()
+}
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -1,8 +1,11 @@
 //! What the module has decided is carried out, and how calls end.
 
+use super::appliance::{never_ran, word};
 use super::{Node, Taken, Waiting};
 use crate::door::CallEnd;
 use crate::targets::{self, Call};
+use foldtrack_control::Failure;
+use foldtrack_ends::Attempt;
 use foldtrack_journal::messages::{Fate, Notice, Record};
 use hatchline::{Action, Event, Micros, Outcome, TargetId};
 use std::time::Duration;
@@ -84,12 +87,17 @@
         let Some((address, zone)) = self.targets.begin_call(target) else {
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         };
-        let begun = Record::Begun { at: self.clock.unix(self.clock.now()), zone };
+        let at = self.clock.unix(self.clock.now());
+        let begun = match self.site {
+            Some(_) => Record::BegunAt { at, zone, endpoint: self.targets.name(target).to_string() },
+            None => Record::Begun { at, zone },
+        };
         if let Err(error) = self.journal.append(number, &begun) {
             eprintln!("journal: a call is not made: {error}");
             self.targets.end_call(target);
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
+        self.attempt_begun(number, at, target);
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert((number, attempt), cancel);
         let call = Call {
@@ -114,19 +122,19 @@
     pub(super) fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
         self.idle.ended(end.idle, end.outcome);
+        self.attempt_ended(&end);
         let listed = self.targets.end_call(end.target);
         if let Some(connection) = end.connection.filter(|_| listed) {
             self.idle.put(end.target, connection);
         }
         let held = self.messages.contains_key(&end.number);
-        if end.over {
-            self.messages.remove(&end.number);
-            if held {
-                self.record(end.number, &Record::Over);
-            }
+        if end.over && end.outcome != Outcome::Ok && self.site.is_some() {
+            // Withdrawn where it was to go: it has had no effect.
+            self.end(end.number, Notice::GivenUp);
+        } else if end.over {
+            self.delivered(end.number);
         } else if held {
-            let never = matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
-            let fate = if never { Fate::NeverRan } else { Fate::MayHaveRun };
+            let fate = if never_ran(end.outcome) { Fate::NeverRan } else { Fate::MayHaveRun };
             self.record(end.number, &Record::Ended(fate));
         }
         let now = self.clock.now();
@@ -142,4 +150,39 @@
             report: end.report,
         });
     }
+
+    /// Notes an attempt of a site's message for people to see.
+    fn attempt_begun(&mut self, number: u64, at: Micros, target: TargetId) {
+        let (Some(site), Some(held)) = (&mut self.site, self.messages.get_mut(&number)) else { return };
+        if !held.history.is_empty() {
+            site.then(number, "sent again");
+        }
+        let endpoint = self.targets.name(target).to_string();
+        held.history.push(Attempt { at, until: 0, endpoint, outcome: "out".into(), may_have_run: true });
+    }
+
+    fn attempt_ended(&mut self, end: &CallEnd) {
+        let (Some(site), Some(held)) = (&mut self.site, self.messages.get_mut(&end.number)) else { return };
+        let attempt = held.history.len() as u32;
+        let Some(tried) = held.history.last_mut() else { return };
+        tried.until = self.clock.unix(self.clock.now());
+        tried.outcome = word(end.outcome).into();
+        tried.may_have_run = !never_ran(end.outcome);
+        if end.outcome == Outcome::Ok {
+            return;
+        }
+        let message = &held.message;
+        let failure = Failure {
+            at: tried.until,
+            message: message.id.clone(),
+            class: self.settings.class_names.get(message.class).cloned().unwrap_or_default(),
+            partner: site.partner_name(message.destination),
+            endpoint: tried.endpoint.clone(),
+            attempt,
+            outcome: tried.outcome.clone(),
+            may_have_run: tried.may_have_run,
+            then: "waits".into(),
+        };
+        site.failed(end.number, message.destination, failure);
+    }
 }
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -4,6 +4,7 @@
 use crate::door::{Answer, Receipt};
 use crate::message::Message;
 use crate::table::Known;
+use foldtrack_ends::Result as EndResult;
 use foldtrack_journal::messages::{Accepted, Record};
 use hatchline::{Event, Outcome};
 use std::sync::Arc;
@@ -15,14 +16,23 @@
             let _ = reply.send(Answer::Known { over: known != Known::Taken });
             return;
         }
+        if let Some(known) = self.ended_before(&message.id) {
+            let _ = reply.send(known);
+            return;
+        }
         if !self.targets.knows(message.destination) {
             // Perhaps its targets are on their way in the list.
-            let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
+            let _ = reply.send(self.full_answer());
             return;
         }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.journal.has_room(message.size()) {
-            let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
+            let _ = reply.send(self.full_answer());
+            return;
+        }
+        let held = self.messages.len();
+        if let Some(refused) = self.site.as_mut().and_then(|s| s.refuse(&message, held)) {
+            let _ = reply.send(refused);
             return;
         }
         let id = self.next_number;
@@ -35,18 +45,40 @@
             order_key: message.order_key(),
             expires: message.expires,
         };
-        self.messages.insert(id, Held { message, taken: Taken::Fresh(reply), attempts: 0, waiting: None });
+        if let Some(site) = &mut self.site {
+            site.hold(&message);
+        }
+        let (since, history) = (self.clock.unix(self.clock.now()), Vec::new());
+        let taken = Taken::Fresh(reply);
+        self.messages.insert(id, Held { message, taken, since, history, attempts: 0, waiting: None });
         self.fresh.push(id);
         self.handle(event);
     }
 
+    /// What a client is told of a message whose end is kept. One that was handed back may come again.
+    fn ended_before(&self, id: &str) -> Option<Answer> {
+        let site = self.site.as_ref()?;
+        let end = site.unkept.values().find(|e| e.id == id).cloned();
+        let end = end.or_else(|| site.ends.look(id).ok().flatten().map(|(_, end)| end))?;
+        match end.result {
+            EndResult::Delivered => Some(Answer::Known { over: false }),
+            EndResult::GivenUp | EndResult::InDoubt => Some(Answer::Known { over: true }),
+            EndResult::HandedBack { .. } => None,
+        }
+    }
+
+    /// The answer where there is no room, or no endpoint.
+    fn full_answer(&mut self) -> Answer {
+        self.site.as_mut().map_or(Answer::Refused { retry_in_ms: 0 }, |s| s.crowded())
+    }
+
     /// Takes on what the module has not refused: first the journal, then the answer.
     pub(super) fn answer_clients(&mut self) {
         for number in std::mem::take(&mut self.fresh) {
             let Some(held) = self.messages.get_mut(&number) else { continue };
             let Taken::Fresh(reply) = std::mem::replace(&mut held.taken, Taken::Answering) else { continue };
             let message = &held.message;
-            let accepted = Record::Accepted(Accepted {
+            let accepted = Accepted {
                 id: message.id.clone(),
                 class: self.settings.class_names[message.class].clone(),
                 destination: message.destination,
@@ -55,10 +87,14 @@
                 retry: message.retry.clone(),
                 expires: self.clock.unix(message.expires),
                 body: message.body.to_vec(),
-            });
+            };
+            let accepted = match self.site {
+                Some(_) => Record::AcceptedAt { at: held.since, accepted },
+                None => Record::Accepted(accepted),
+            };
             if let Err(error) = self.journal.append(number, &accepted) {
                 eprintln!("journal: a message is refused: {error}");
-                let _ = reply.send(Answer::Refused { retry_in_ms: 0 });
+                let _ = reply.send(self.full_answer());
                 self.withdraw(number);
                 continue;
             }
@@ -71,10 +107,20 @@
     /// The client has its answer, and the message may go; or it has gone before, and nothing is taken on.
     pub(super) fn answered(&mut self, number: u64, written: bool) {
         if !written {
-            self.record(number, &Record::Over);
+            self.over(number);
+            if let Some((held, _)) = self.site.as_mut().and_then(|s| s.pending.remove(&number)) {
+                self.ids.remove(&held.message.id);
+                self.site.iter_mut().for_each(|s| s.let_go(&held.message));
+            }
             self.notices.remove(number).inspect(|ending| self.ids.remove(&ending.id));
             return self.withdraw(number);
         }
+        if let Some(site) = &mut self.site {
+            site.counts.taken += 1;
+            if let Some((held, notice)) = site.pending.remove(&number) {
+                return self.ended_by(number, held, notice);
+            }
+        }
         let Some(held) = self.messages.get_mut(&number) else { return };
         held.taken = Taken::On;
         self.ids.set(&held.message.id, Known::Taken);
@@ -85,6 +131,7 @@
     pub(super) fn withdraw(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
         self.ids.remove(&held.message.id);
+        self.site.iter_mut().for_each(|s| s.let_go(&held.message));
         if let Some(Waiting { attempt, target, .. }) = held.waiting {
             self.outcome(number, attempt, target, Outcome::NotSent, true);
         }
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -1,9 +1,12 @@
 //! The loop that owns all state: the module, the messages and the journal. What sockets and timers tell
 //! comes in as [`Input`]s; what the module decides goes out, in its order.
 
+mod appliance;
 mod calls;
 mod endings;
 mod intake;
+mod orders;
+mod picture;
 mod restore;
 mod shutdown;
 
@@ -12,11 +15,16 @@
 use crate::config::Config;
 use crate::connections::IdleConnections;
 use crate::door::{Answer, Input, Inputs, Stage};
+use crate::ends_api::Fronts;
 use crate::list::{ServerList, ServerState};
+use crate::membership::Membership;
 use crate::message::Message;
 use crate::notices::Notices;
-use crate::platform;
 use crate::table::{Ids, Targets};
+pub(crate) use picture::told_end;
+
+use appliance::{Appliance, LONGEST_NAME};
+use foldtrack_ends::Attempt;
 use foldtrack_journal::messages::Journal;
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, TargetId};
@@ -67,6 +75,10 @@
 struct Held {
     message: Arc<Message>,
     taken: Taken,
+    /// When it came, Unix time in microseconds.
+    since: Micros,
+    /// Its attempts for people to see, at a site of its own.
+    history: Vec<Attempt>,
     attempts: u32,
     /// A send that the module has decided on, but that must not go yet: see [`Node::send`].
     waiting: Option<Waiting>,
@@ -78,7 +90,11 @@
     settings: Arc<Parsed>,
     journal: Journal,
     inputs: Inputs,
-    discovery: watch::Sender<SocketAddr>,
+    membership: Box<dyn Membership>,
+    /// The platform's taker of notices.
+    discovery: Option<watch::Sender<SocketAddr>>,
+    /// What a site of its own has in its place.
+    site: Option<Box<Appliance>>,
     /// Lists taken in. Their own versions begin anew where discovery moves.
     lists: u32,
     next_number: u64,
@@ -107,9 +123,15 @@
     config: Config, inputs: Inputs, mut receiver: UnboundedReceiver<Input>,
 ) -> io::Result<()> {
     let clock = Clock::new();
+    let (ends_seen, fronts) = fronts(&config);
     let settings = Arc::new(config.settings);
     let max_attempts = settings.settings.max_attempts;
-    let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts)?;
+    let site = config.site.map(|parts| Appliance::new(parts, ends_seen, config.memory_bytes as u64));
+    let name = if site.is_some() { LONGEST_NAME } else { 0 };
+    let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts, name)?;
+    // Numbers of messages that are over may stand in kept ends: none is used twice.
+    let highest = restored.last_key_value().map_or(0, |(number, _)| *number);
+    let highest = highest.max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
     // Half for clients, half for calls and for what stands idle between them.
     let share = config.sockets.saturating_sub(OTHER_SOCKETS) / 2;
@@ -121,9 +143,11 @@
         settings: settings.clone(),
         journal,
         inputs: inputs.clone(),
-        discovery: watch::Sender::new(config.discovery),
+        membership: config.membership,
+        discovery: config.discovery,
+        site: site.map(Box::new),
         lists: 0,
-        next_number: restored.last_key_value().map_or(1, |(number, _)| number + 1),
+        next_number: highest + 1,
         messages: BTreeMap::new(),
         fresh: Vec::new(),
         notices: Notices::default(),
@@ -139,23 +163,23 @@
         terminated: None,
         actions: Vec::new(),
     };
-    node.list(config.known, ListKind::Cached);
-    for (number, message) in restored {
-        node.restore(number, message);
-    }
-    tokio::spawn(platform::watch(node.discovery.subscribe(), inputs.clone()));
+    let news = node.membership.watch(&inputs);
+    node.list(node.membership.known(), if news { ListKind::Cached } else { ListKind::Full });
+    node.restore_all(restored);
     let mut batch = Vec::new();
-    // What the configuration knows may be old: a target that this forwarder was told of as drained, before it
-    // restarted, would get what it held. The agent answers at once, or discovery is down.
-    if let Ok(Some(first)) = timeout(FIRST_LIST, receiver.recv()).await {
-        batch.push(first);
+    if news {
+        batch.extend(timeout(FIRST_LIST, receiver.recv()).await.ok().flatten());
     }
     let listener = TcpListener::bind(config.listen).await?;
     let bodies = Semaphore::new(config.memory_bytes / BODIES_PART);
-    let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies };
+    let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies, fronts };
     tokio::spawn(clients::serve(listener, Arc::new(desk), share.max(1)));
     while !node.has_ended() {
+        let begun = Instant::now();
         node.round(&mut batch);
+        if let Some(site) = &mut node.site {
+            site.longest_round = site.longest_round.max(begun.elapsed());
+        }
         let wake = node.wake_at();
         tokio::select! {
             biased;
@@ -166,6 +190,16 @@
     Ok(())
 }
 
+/// What clients of a site of its own may ask beside handing messages in.
+fn fronts(config: &Config) -> (watch::Sender<u64>, Option<Fronts>) {
+    let (ends_seen, seen) = watch::channel(0);
+    let partners = config.site.as_ref().map(|parts| {
+        let named = |p: &foldtrack_site::Partner| (p.name.clone(), p.number());
+        parts.site.partners.iter().map(named).collect()
+    });
+    (ends_seen, partners.map(|partners| Fronts::new(partners, seen)))
+}
+
 impl Node {
     /// Takes in all that has happened, lets the module decide once, and carries out what it says.
     fn round(&mut self, batch: &mut Vec<Input>) {
@@ -187,6 +221,7 @@
         self.step_down();
         if self.swept.elapsed() > SWEEP {
             self.swept = Instant::now();
+            self.keep_unkept();
             self.idle.sweep();
             let (now, keep) = (self.clock.now(), self.remember());
             self.ids.forget(now, self.most_ids);
@@ -211,16 +246,19 @@
             Input::Answered { number, written } => self.answered(number, written),
             Input::CallEnded(end) => self.call_ended(end),
             // What the old address has told late does not stand against the new one.
-            Input::List { from, .. } if from != *self.discovery.borrow() => {}
+            Input::List { from, .. } if self.discovery.as_ref().is_none_or(|d| from != *d.borrow()) => {}
             Input::List { list, .. } => {
                 let kind = if list.full { ListKind::Full } else { ListKind::Delta };
                 self.list(list, kind);
             }
             Input::Reported { numbers, status, to } => self.reported(numbers, status, to),
             Input::Discovery(address) => {
-                self.discovery.send_replace(address);
+                if let Some(discovery) = &self.discovery {
+                    discovery.send_replace(address);
+                }
                 self.notices.moved();
             }
+            Input::Site(ask) => self.asked(ask),
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
@@ -259,6 +297,7 @@
                     ServerState::Left => EndpointState::Gone,
                 },
                 rate: line.weight,
+                slots: line.slots,
             });
         }
         if kind != ListKind::Delta {
--- /dev/null
+++ b/src/bin/foldtrack/node/orders.rs
@@ -0,0 +1,93 @@
+//! Orders of a site's operators, and what its fronts ask.
+
+use super::Node;
+use crate::door::Ask;
+use foldtrack_control::{Done, Error};
+use foldtrack_ends::Fetched;
+use foldtrack_membership::{Change, Order, Trouble};
+use hatchline::ListKind;
+use std::io;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+impl Node {
+    pub(super) fn asked(&mut self, ask: Ask) {
+        match ask {
+            // Whoever asked may have gone.
+            Ask::Ends { after, peek, most, reply } => drop(reply.send(self.fetch(after, peek, most))),
+            Ask::Message { id, reply } => drop(reply.send(self.history(&id))),
+            Ask::Picture { queues, reply } => drop(reply.send(self.picture(queues))),
+            Ask::Order { order, reply } => self.order(order, reply),
+        }
+    }
+
+    fn fetch(&mut self, after: Option<u64>, peek: bool, most: usize) -> io::Result<Fetched> {
+        let now = self.clock.unix(self.clock.now());
+        let Some(site) = &mut self.site else { return Err(io::Error::other("no ends are kept here")) };
+        if let Some(cursor) = after.filter(|_| !peek) {
+            site.ends.acknowledge(cursor, now)?;
+        }
+        site.ends.fetch(after.unwrap_or(site.ends.acknowledged()), most)
+    }
+
+    /// Carries out an order: first in the log, then in the list that the module goes by, and that within this round,
+    /// so that nothing new is decided against it. The answer waits for the disk, not the loop.
+    fn order(&mut self, order: Order, reply: oneshot::Sender<Result<Done, Error>>) {
+        let now = self.clock.unix(self.clock.now());
+        let error = |code: &str, text: String| Error { code: code.into(), text };
+        let change = match self.membership.order(now, &order) {
+            Ok(change) => change,
+            Err(trouble) => {
+                let code = if matches!(trouble, Trouble::Refused(_)) { "refused" } else { "not_kept" };
+                return drop(reply.send(Err(error(code, trouble.to_string()))));
+            }
+        };
+        if change == Change::Done {
+            self.list(self.membership.known(), ListKind::Full);
+        }
+        self.note_closed(&order);
+        let done = self.done(&order, change);
+        let file = self.membership.file();
+        tokio::task::spawn_blocking(move || {
+            let synced = file.and_then(|file| file.sync_data());
+            let told = synced.map(|()| done).map_err(|e| {
+                error("not_kept", format!("the order holds, but may not outlive a power cut: {e}"))
+            });
+            reply.send(told)
+        });
+    }
+
+    fn note_closed(&mut self, order: &Order) {
+        let (Some(site), Some(state)) = (&mut self.site, self.membership.state()) else { return };
+        site.closed.retain(|name, _| state.endpoints().get(name).is_some_and(|e| !state.is_open(e)));
+        let concerns = |name: &String, partner: &String| match order {
+            Order::Drain { endpoint } => endpoint == name,
+            Order::PausePartner { partner: paused } => paused == partner,
+            _ => false,
+        };
+        for (name, endpoint) in state.endpoints() {
+            if concerns(name, &endpoint.partner) && !state.is_open(endpoint) {
+                site.closed.entry(name.clone()).or_insert_with(Instant::now);
+            }
+        }
+    }
+
+    fn done(&self, order: &Order, change: Change) -> Done {
+        let none = std::collections::BTreeMap::new();
+        let state = self.membership.state();
+        let endpoints = state.map_or(&none, |s| s.endpoints());
+        let (partner, calls) = match order {
+            Order::Add { partner, endpoint, .. } => (Some(partner), self.targets.calls_to(endpoint)),
+            Order::Drain { endpoint } | Order::Resume { endpoint } | Order::Remove { endpoint } => {
+                (endpoints.get(endpoint).map(|e| &e.partner), self.targets.calls_to(endpoint))
+            }
+            Order::PausePartner { partner } | Order::ResumePartner { partner } => {
+                let own = endpoints.iter().filter(|(_, e)| e.partner == *partner);
+                (Some(partner), own.map(|(name, _)| self.targets.calls_to(name)).sum())
+            }
+        };
+        let number = partner.and_then(|p| state?.partners().get(p)).map(|p| p.number);
+        let held = self.messages.values().filter(|h| Some(h.message.destination) == number).count() as u32;
+        Done { changed: change == Change::Done, version: state.map_or(0, |s| s.version()), calls, held }
+    }
+}
--- /dev/null
+++ b/src/bin/foldtrack/node/picture.rs
@@ -0,0 +1,295 @@
+//! What people are shown. Bounded work: each picture looks once at every message that is held, and the fronts ask
+//! for a few pictures a second at most, however many readers they have.
+
+use super::Node;
+use crate::door::{Picture, Stage};
+use foldtrack_control::{Attempt, Endpoint, Message, Partner, Queue, Status, MOST_LINES};
+use foldtrack_ends::{End, Result as EndResult};
+use foldtrack_membership::State;
+use hatchline::views::{DestinationView, Health, LaneView};
+use hatchline::{Micros, TargetId};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Messages that are held for something, and since when the oldest.
+#[derive(Clone, Copy, Default)]
+struct Heap {
+    held: u32,
+    oldest: Micros,
+}
+
+impl Heap {
+    fn add(&mut self, taken: Micros) {
+        self.held += 1;
+        self.oldest = if self.held == 1 { taken } else { self.oldest.min(taken) };
+    }
+
+    fn age_ms(&self, now: Micros) -> u64 {
+        if self.held == 0 {
+            0
+        } else {
+            now.saturating_sub(self.oldest) / 1000
+        }
+    }
+}
+
+fn health(lane: &LaneView) -> &'static str {
+    match lane.health {
+        Health::Open => "up",
+        Health::Failing => "failing",
+        Health::Out { .. } => "out",
+        Health::Warming { .. } => "warming",
+    }
+}
+
+fn millis(span: Micros) -> f64 {
+    (span as f64 / 100.0).round() / 10.0
+}
+
+fn round(number: f64) -> f64 {
+    (number * 10.0).round() / 10.0
+}
+
+impl Node {
+    pub(super) fn picture(&mut self, queues: bool) -> Arc<Picture> {
+        let now = self.clock.now();
+        let unix = self.clock.unix(now);
+        let views = self.brain.view(now);
+        let mut heaps: HashMap<u32, Heap> = HashMap::new();
+        let mut whole = Heap::default();
+        for held in self.messages.values() {
+            whole.add(held.since);
+            heaps.entry(held.message.destination).or_default().add(held.since);
+        }
+        let queues = queues.then(|| self.queues(unix));
+        let longest = self.site.as_mut().map_or(Duration::ZERO, |s| std::mem::take(&mut s.longest_round));
+        let status = self.status(unix, whole, longest);
+        let (partners, endpoints) = match self.membership.state() {
+            Some(state) => (self.partners(state, &views, &heaps, unix), self.endpoints(state, &views)),
+            None => Default::default(),
+        };
+        let failures =
+            self.site.iter().flat_map(|s| s.failures.iter().rev().map(|(_, f)| f.clone())).collect();
+        Arc::new(Picture { at: Instant::now(), status, partners, endpoints, failures, queues })
+    }
+
+    fn status(&self, unix: Micros, whole: Heap, longest: Duration) -> Status {
+        let Some(site) = &self.site else { return Status::default() };
+        let (ends, ends_unfetched, ends_bytes) = site.ends.kept();
+        let counts = &site.counts;
+        Status {
+            name: site.name.clone(),
+            program: env!("CARGO_PKG_VERSION").into(),
+            pid: std::process::id(),
+            at: unix,
+            up_ms: self.clock.up().as_millis() as u64,
+            stage: match *self.stage.borrow() {
+                Stage::Serving => "serving",
+                Stage::Draining => "draining",
+                Stage::Closing => "closing",
+            }
+            .into(),
+            taken: counts.taken,
+            refused: counts.refused,
+            delivered: counts.delivered,
+            given_up: counts.given_up,
+            in_doubt: counts.in_doubt,
+            handed_back: counts.handed_back,
+            failures: counts.failures,
+            held: whole.held,
+            held_most: self.settings.settings.max_held,
+            held_bytes: site.held_bytes,
+            held_bytes_most: site.held_most,
+            calls: self.calls.len() as u32,
+            calls_most: self.settings.settings.slots,
+            oldest_ms: whole.age_ms(unix),
+            journal_bytes: self.journal.length(),
+            journal_most: site.journal_most,
+            ends,
+            ends_unfetched,
+            ends_most: site.ends.bounds().count,
+            ends_bytes,
+            ends_bytes_most: site.ends.bounds().size,
+            ends_unwritten: site.unkept.len() as u32,
+            membership: self.membership.state().map_or(0, State::version),
+            longest_round_us: longest.as_micros() as u64,
+        }
+    }
+
+    fn partners(
+        &self, state: &State, views: &[DestinationView], heaps: &HashMap<u32, Heap>, unix: Micros,
+    ) -> Vec<Partner> {
+        let Some(site) = &self.site else { return Vec::new() };
+        let by_number: HashMap<u32, &DestinationView> = views.iter().map(|v| (v.destination, v)).collect();
+        let mut counts: HashMap<&str, (u32, u32)> = HashMap::new();
+        for endpoint in state.endpoints().values() {
+            let (all, open) = counts.entry(&endpoint.partner).or_default();
+            *all += 1;
+            *open += u32::from(state.is_open(endpoint));
+        }
+        let partner = |(name, partner): (&String, &foldtrack_membership::Partner)| {
+            let lanes = by_number.get(&partner.number).map_or(&[][..], |v| &v.lanes);
+            // Where endpoints are routes apart, the worst is shown; the list of endpoints has them all.
+            let worst = lanes
+                .iter()
+                .max_by_key(|l| ["up", "failing", "warming", "out"].iter().position(|h| *h == health(l)));
+            let heap = heaps.get(&partner.number).copied().unwrap_or_default();
+            let (endpoints, open) = counts.get(name.as_str()).copied().unwrap_or_default();
+            let (delivered, failures) =
+                site.counts.by_partner.get(&partner.number).copied().unwrap_or_default();
+            let facts = site.partners.get(&partner.number);
+            Partner {
+                name: name.clone(),
+                kind: facts.map(|f| f.kind.clone()).unwrap_or_default(),
+                paused: partner.paused,
+                health: if open == 0 { "closed" } else { worst.map_or("up", health) }.into(),
+                endpoints,
+                open,
+                held: heap.held,
+                oldest_ms: heap.age_ms(unix),
+                calls: lanes.iter().map(|l| l.calls).sum(),
+                window: round(lanes.iter().map(|l| l.window).sum()),
+                tau_ms: worst.map_or(0.0, |l| millis(l.tau)),
+                mean_ms: worst.map_or(0.0, |l| millis(l.mean)),
+                wait_ms: lanes.iter().map(|l| l.wait.div_ceil(1000)).max().unwrap_or(0),
+                pace: round(lanes.iter().map(|l| l.pace).sum()),
+                rate: facts.map_or(0.0, |f| f.rate),
+                slots: facts.map_or(0, |f| f.slots),
+                delivered,
+                failures,
+            }
+        };
+        state.partners().iter().map(partner).collect()
+    }
+
+    fn endpoints(&self, state: &State, views: &[DestinationView]) -> Vec<Endpoint> {
+        // Of targets that share a name, the latest one stands for it; calls of all count.
+        let mut by_name: HashMap<&str, (TargetId, &LaneView, u64)> = HashMap::new();
+        let mut calls: HashMap<&str, u32> = HashMap::new();
+        for lane in views.iter().flat_map(|v| &v.lanes) {
+            for target in &lane.targets {
+                let name = self.targets.name(target.target);
+                *calls.entry(name).or_default() += target.calls;
+                let entry = (target.target, lane, target.avoided);
+                let latest = by_name.entry(name).or_insert(entry);
+                if latest.0 < target.target {
+                    *latest = entry;
+                }
+            }
+        }
+        let endpoint = |(name, endpoint): (&String, &foldtrack_membership::Endpoint)| {
+            let lane = by_name.get(name.as_str());
+            let (open, calls) = (state.is_open(endpoint), calls.get(name.as_str()).copied().unwrap_or(0));
+            let draining = endpoint.state == foldtrack_membership::EndpointState::Draining;
+            let closed =
+                self.site.as_ref().and_then(|s| s.closed.get(name)).map_or(Duration::ZERO, Instant::elapsed);
+            Endpoint {
+                name: name.clone(),
+                partner: endpoint.partner.clone(),
+                address: endpoint.address.to_string(),
+                state: match (draining, open) {
+                    (true, _) => "draining",
+                    (false, false) => "paused",
+                    (false, true) => "active",
+                }
+                .into(),
+                health: match lane {
+                    _ if !open && calls == 0 => "drained",
+                    Some((_, lane, _)) => health(lane),
+                    None => "up",
+                }
+                .into(),
+                calls,
+                window: lane.map_or(0.0, |(_, l, _)| round(l.window)),
+                tau_ms: lane.map_or(0.0, |(_, l, _)| millis(l.tau)),
+                wait_ms: lane.map_or(0, |(_, l, _)| l.wait.div_ceil(1000)),
+                avoided_ms: lane.map_or(0, |(_, _, avoided)| avoided / 1000),
+                closed_ms: closed.as_millis() as u64,
+            }
+        };
+        state.endpoints().iter().map(endpoint).collect()
+    }
+
+    /// What is held by partner and key, the longest first.
+    fn queues(&self, unix: Micros) -> Vec<Queue> {
+        let Some(site) = &self.site else { return Vec::new() };
+        let mut heaps: HashMap<(u32, &str), Heap> = HashMap::new();
+        for held in self.messages.values() {
+            heaps.entry((held.message.destination, &held.message.key)).or_default().add(held.since);
+        }
+        let mut all: Vec<((u32, &str), Heap)> = heaps.into_iter().collect();
+        let order = |(name, heap): &((u32, &str), Heap)| (std::cmp::Reverse(heap.held), heap.oldest, name.0);
+        let most = MOST_LINES as usize;
+        if all.len() > most {
+            all.select_nth_unstable_by_key(most - 1, order);
+            all.truncate(most);
+        }
+        all.sort_by(|a, b| order(a).cmp(&order(b)).then(a.0 .1.cmp(b.0 .1)));
+        let queue = |((partner, key), heap): ((u32, &str), Heap)| Queue {
+            partner: site.partner_name(partner),
+            key: key.to_string(),
+            held: heap.held,
+            oldest_ms: heap.age_ms(unix),
+        };
+        all.into_iter().map(queue).collect()
+    }
+
+    /// What is known of a message: it is held, or its end is kept.
+    pub(super) fn history(&self, id: &str) -> Option<Message> {
+        let site = self.site.as_ref()?;
+        if let Some(held) =
+            self.ids.number(id).and_then(|n| Some((self.messages.get(&n)?, n))).map(|(h, _)| h)
+        {
+            let message = &held.message;
+            return Some(Message {
+                id: id.to_string(),
+                state: "held".into(),
+                class: self.settings.class_names.get(message.class).cloned().unwrap_or_default(),
+                partner: site.partner_name(message.destination),
+                key: message.key.clone(),
+                taken: held.since,
+                expires: self.clock.unix(message.expires),
+                attempts: held.history.iter().map(attempt).collect(),
+                ..Message::default()
+            });
+        }
+        let unkept = site.unkept.values().find(|e| e.id == id).cloned();
+        let end = unkept.or_else(|| match site.ends.look(id) {
+            Ok(found) => found.map(|(_, end)| end),
+            Err(error) => {
+                eprintln!("ends: {error}");
+                None
+            }
+        });
+        end.as_ref().map(told_end)
+    }
+}
+
+fn attempt(attempt: &foldtrack_ends::Attempt) -> Attempt {
+    let foldtrack_ends::Attempt { at, until, endpoint, outcome, may_have_run } = attempt.clone();
+    Attempt { at, until, endpoint, outcome, may_have_run }
+}
+
+/// An end as it is told.
+pub(crate) fn told_end(end: &End) -> Message {
+    let (state, retry_in_ms) = match end.result {
+        EndResult::Delivered => ("delivered", 0),
+        EndResult::GivenUp => ("given_up", 0),
+        EndResult::InDoubt => ("in_doubt", 0),
+        EndResult::HandedBack { retry_in_ms } => ("handed_back", retry_in_ms),
+    };
+    Message {
+        id: end.id.clone(),
+        state: state.into(),
+        class: end.class.clone(),
+        partner: end.partner.clone(),
+        key: end.key.clone(),
+        taken: end.taken,
+        expires: 0,
+        ended: end.ended,
+        retry_in_ms,
+        attempts: end.attempts.iter().map(attempt).collect(),
+    }
+}
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -4,16 +4,30 @@
 use crate::message::{order_key, Message};
 use crate::notices::Ending;
 use crate::table::Known;
-use foldtrack_journal::messages::{Fate, Notice, Restored};
+use foldtrack_ends::Attempt;
+use foldtrack_journal::messages::{Fate, Notice, Restored, Tried};
 use hatchline::{Event, Outcome};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 impl Node {
+    /// Takes over what the journal holds, in the order in which it was taken on.
+    pub(super) fn restore_all(&mut self, restored: BTreeMap<u64, Restored>) {
+        let ended: HashSet<u64> = self.site.iter().flat_map(|s| s.ends.numbers()).collect();
+        for (number, message) in restored {
+            // The process ended between the end's record and the journal's.
+            match ended.contains(&number) {
+                true => self.over(number),
+                false => self.restore(number, message),
+            }
+        }
+    }
+
     /// Takes over what the journal holds of a message.
-    pub(super) fn restore(&mut self, number: u64, restored: Restored) {
-        let Restored { accepted, attempts, notice } = restored;
+    fn restore(&mut self, number: u64, restored: Restored) {
+        let Restored { accepted, taken: since, delivered, attempts, notice } = restored;
         self.ids.insert(&accepted.id, number, Known::Taken, self.clock.now() + self.remember());
-        if let Some(notice) = notice {
+        if let Some(notice) = notice.filter(|_| self.site.is_none()) {
             let order_key = order_key(&accepted.key);
             self.ids.set(&accepted.id, Known::Ended);
             self.notices.insert(number, Ending { id: accepted.id, order_key, notice });
@@ -34,10 +48,21 @@
         let held = Held {
             message: Arc::new(message),
             taken: Taken::On,
+            since,
+            history: if self.site.is_some() { attempts.iter().map(lost).collect() } else { Vec::new() },
             attempts: attempts.len() as u32,
             waiting: None,
         };
+        if let Some(site) = &mut self.site {
+            site.hold(&held.message);
+        }
         self.messages.insert(number, held);
+        if delivered {
+            return self.delivered(number);
+        }
+        if let Some(notice) = notice {
+            return self.end(number, notice);
+        }
         let Some(class) = class else {
             // The settings have changed since: nothing can be promised.
             return self.end(number, Notice::GivenUp);
@@ -61,3 +86,19 @@
         });
     }
 }
+
+/// An attempt of an earlier process, as its journal knows it.
+fn lost(tried: &Tried) -> Attempt {
+    let outcome = match tried.fate {
+        Some(Fate::NeverRan) => "did not run",
+        Some(Fate::MayHaveRun) => "may have run",
+        None => "lost",
+    };
+    Attempt {
+        at: tried.at,
+        until: 0,
+        endpoint: tried.endpoint.clone(),
+        outcome: outcome.into(),
+        may_have_run: tried.fate != Some(Fate::NeverRan),
+    }
+}
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -3,10 +3,14 @@
 use crate::connections::Connection;
 use crate::door::{Input, Inputs};
 use crate::list::ServerList;
+use crate::membership::Membership;
 use bytes::Bytes;
+use foldtrack_membership::{Change, Order, State, Trouble};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
+use std::fs::File;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -45,8 +49,40 @@
     Request::get(path).header(HOST, address.to_string()).body(Full::default()).ok()
 }
 
+/// The platform's agent as the source of the list.
+pub(crate) struct Agent {
+    pub discovery: watch::Sender<SocketAddr>,
+    /// The list as this forwarder last had it; perhaps old.
+    pub known: ServerList,
+}
+
+impl Membership for Agent {
+    fn known(&self) -> ServerList {
+        self.known.clone()
+    }
+
+    /// What is known may be old: a target that this forwarder was told of as drained, before it restarted, would get
+    /// what it held. The agent answers at once, or discovery is down.
+    fn watch(&self, inputs: &Inputs) -> bool {
+        tokio::spawn(watch(self.discovery.subscribe(), inputs.clone()));
+        true
+    }
+
+    fn order(&mut self, _: u64, _: &Order) -> Result<Change, Trouble> {
+        Err(Trouble::Unwritten(io::Error::other("the list is the platform's")))
+    }
+
+    fn state(&self) -> Option<&State> {
+        None
+    }
+
+    fn file(&self) -> io::Result<File> {
+        Err(io::Error::other("the list is the platform's"))
+    }
+}
+
 /// Watches the list for as long as the process runs.
-pub(crate) async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
+async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
     loop {
         let address = *discovery.borrow_and_update();
         // A watch that hangs on an address which is left would not end by itself for seconds.
--- /dev/null
+++ b/src/bin/foldtrack/serve.rs
@@ -0,0 +1,155 @@
+//! A site of its own: from the site file to a running loop.
+
+use crate::config::{Config, SiteParts};
+use crate::control;
+use crate::door;
+use crate::membership::SiteMembership;
+use crate::{runtime, serve_until_told};
+use foldtrack_ends::shelf::Bounds;
+use foldtrack_ends::Store;
+use foldtrack_membership::{Listed, Log, SiteList};
+use foldtrack_site::{Effect, Site, MOST_ENDPOINTS};
+use hatchline::settings::Parsed;
+use hatchline::{Class, Decay, Group, ListedRate, Rules, Settings};
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{Read, Write};
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::SignalKind;
+
+/// Bytes of memory beside the limit on messages that the process itself needs are not counted here; of the disk,
+/// the lock file and the socket are a block each.
+const STATE_MODE: u32 = 0o700;
+
+/// Serves a site until it is told to end.
+///
+/// # Errors
+/// What stands in the way, with the file or field that it is about.
+pub(crate) fn serve(site: Site) -> Result<(), String> {
+    fs::DirBuilder::new()
+        .recursive(true)
+        .mode(STATE_MODE)
+        .create(&site.state)
+        .map_err(|e| format!("{}: {e}", site.state.display()))?;
+    let _lock = lock(&site.state)?;
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let mut log = Log::open(&site.state, MOST_ENDPOINTS).map_err(|e| e.to_string())?;
+    for told in log.site_says(unix, &site_list(&site)).map_err(|e| e.to_string())? {
+        eprintln!("membership: {told}");
+    }
+    let bounds = Bounds { count: site.ends.count, size: site.ends.size, age: site.ends.age };
+    let ends = Store::open(&site.state.join("ends"), bounds).map_err(|e| e.to_string())?;
+    let socket = control::bind(&site.control_socket())?;
+    let (inputs, receiver) = door::channel();
+    control::start(socket, inputs.clone())?;
+    let config = Config {
+        listen: site.listen,
+        state: site.state.clone(),
+        seed: seed(unix),
+        sockets: site.limits.descriptors,
+        memory_bytes: site.limits.memory as usize,
+        disk_bytes: site.journal_room(),
+        settings: settings(&site),
+        membership: Box::new(SiteMembership::new(log, site.clone())),
+        discovery: None,
+        site: Some(SiteParts { site, ends }),
+    };
+    let ends = [SignalKind::terminate(), SignalKind::interrupt()];
+    runtime()?.block_on(serve_until_told(config, inputs, receiver, &ends))
+}
+
+/// Sets this process apart from others that start at the same moment.
+fn seed(unix: u64) -> u64 {
+    unix ^ (u64::from(std::process::id()) << 40)
+}
+
+/// The lock on a state folder, held as long as the file is open: it goes with the process, however that ends.
+fn lock(state: &Path) -> Result<File, String> {
+    let path = state.join("lock");
+    let told = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let mut options = OpenOptions::new();
+    options.read(true).write(true).create(true).truncate(false).mode(0o600);
+    let mut file = options.open(&path).map_err(|e| told(&e))?;
+    match file.try_lock() {
+        Ok(()) => {}
+        Err(TryLockError::WouldBlock) => {
+            let mut pid = String::new();
+            let _ = file.take(32).read_to_string(&mut pid);
+            let (pid, state) = (pid.trim(), state.display());
+            return Err(format!("{state}: a forwarder runs on this state folder already, process {pid}"));
+        }
+        Err(TryLockError::Error(e)) => return Err(told(&e)),
+    }
+    file.set_len(0).and_then(|()| writeln!(file, "{}", std::process::id())).map_err(|e| told(&e))?;
+    Ok(file)
+}
+
+fn site_list(site: &Site) -> SiteList {
+    let mut list = SiteList::default();
+    for partner in &site.partners {
+        list.partners.insert(partner.name.clone(), partner.number());
+        for endpoint in &partner.endpoints {
+            let listed = Listed { partner: partner.name.clone(), address: endpoint.address };
+            list.endpoints.insert(endpoint.name.clone(), listed);
+        }
+    }
+    list
+}
+
+/// The site in the words of the decision module.
+fn settings(site: &Site) -> Parsed {
+    let class = |c: &foldtrack_site::Class| Class {
+        aim: c.aim,
+        deadline: c.deadline,
+        worth: c.worth,
+        late_value: c.late_worth,
+        effect: match c.effect {
+            Effect::Repeatable => hatchline::Effect::Repeatable,
+            Effect::Keyed => hatchline::Effect::Keyed,
+            Effect::Once => hatchline::Effect::Unsafe,
+        },
+        group: Group::All,
+        window: c.remembered,
+        in_order: c.ordered,
+        streaming: false,
+    };
+    let settings = Settings {
+        senders: 1,
+        slots: site.limits.calls,
+        max_held: site.limits.messages,
+        max_attempts: site.limits.attempts,
+        may_cancel: true,
+        may_advise_wait: true,
+        max_advised_wait: site.limits.longest_wait,
+        classes: site.classes.iter().map(class).collect(),
+        decay: Decay::Linear,
+        // The figures of the rules as the first users have them; see docs/operators/site.md.
+        rules: Rules {
+            drain_grace: 2_000_000,
+            cold_from: 0.16,
+            ramp_time: 14_000_000,
+            tip_multiple: 2.5,
+            tip_after: 2_000_000,
+            order_pause: 100_000,
+            ask_within: 0,
+        },
+        batch: vec![1; site.kinds.len()],
+        routes_apart: site.kinds.iter().map(|k| k.routes_apart).collect(),
+        zone_fee: vec![0.0],
+        listed_rate: ListedRate::Exact,
+        connection_idle: site.calls.connection_idle,
+        connect_timeout: site.calls.connect_timeout,
+        streams_per_connection: 1,
+        tick: 5_000,
+        ..Settings::default()
+    };
+    Parsed {
+        settings,
+        class_names: site.classes.iter().map(|c| c.name.clone()).collect(),
+        kind_names: site.kinds.iter().map(|k| k.name.clone()).collect(),
+        zone_names: vec![String::new()],
+        share_left_at: None,
+        rate_at: None,
+    }
+}
--- a/src/bin/foldtrack/table.rs
+++ b/src/bin/foldtrack/table.rs
@@ -13,8 +13,10 @@
     pub address: SocketAddr,
     pub zone: u32,
     cell: u32,
-    id: String,
+    pub id: String,
     gone: bool,
+    /// Nothing new goes there.
+    leaving: bool,
     /// Calls to it that have no end yet.
     calls: u32,
 }
@@ -34,11 +36,11 @@
     /// The number of a line's target, and the number that it takes the place of. None for one that has left
     /// unknown.
     pub fn number(&mut self, line: &ServerLine, zone: u32) -> Option<(TargetId, Option<TargetId>)> {
-        let gone = line.state == ServerState::Left;
+        let (gone, leaving) = (line.state == ServerState::Left, line.state != ServerState::Active);
         let known = self.numbers.get(&line.id).copied();
         if let Some(server) = known.and_then(|n| self.servers.get_mut(&n)) {
             if (server.address, server.cell, server.zone) == (line.addr, line.cell, zone) && !server.gone {
-                server.gone = gone;
+                (server.gone, server.leaving) = (gone, leaving);
                 return Some((known?, None));
             }
             server.gone = true;
@@ -50,7 +52,7 @@
         self.next += 1;
         self.numbers.insert(line.id.clone(), number);
         let (address, cell, id) = (line.addr, line.cell, line.id.clone());
-        self.servers.insert(number, Server { address, zone, cell, id, gone: false, calls: 0 });
+        self.servers.insert(number, Server { address, zone, cell, id, gone: false, leaving, calls: 0 });
         Some((number, known))
     }
 
@@ -74,12 +76,23 @@
         self.cells.contains_key(&cell)
     }
 
+    /// A call begins, unless the target has been closed since the call was decided on.
     pub fn begin_call(&mut self, number: TargetId) -> Option<(SocketAddr, u32)> {
-        let server = self.servers.get_mut(&number)?;
+        let server = self.servers.get_mut(&number).filter(|s| !s.gone && !s.leaving)?;
         server.calls += 1;
         Some((server.address, server.zone))
     }
 
+    /// Name of a target.
+    pub fn name(&self, number: TargetId) -> &str {
+        self.servers.get(&number).map_or("", |s| &s.id)
+    }
+
+    /// Calls that are out to a target of this name, at whichever address.
+    pub fn calls_to(&self, name: &str) -> u32 {
+        self.servers.values().filter(|s| s.id == name).map(|s| s.calls).sum()
+    }
+
     /// A call has its end; tells whether the target may be called again.
     pub fn end_call(&mut self, number: TargetId) -> bool {
         let Some(server) = self.servers.get_mut(&number) else { return false };
@@ -130,6 +143,11 @@
         self.known.get(&self.hasher.hash_one(id)).map(|(_, known)| *known)
     }
 
+    /// The number of a message, where its id is remembered.
+    pub fn number(&self, id: &str) -> Option<u64> {
+        self.known.get(&self.hasher.hash_one(id)).map(|(number, _)| *number)
+    }
+
     pub fn insert(&mut self, id: &str, number: u64, known: Known, until: Micros) {
         let hash = self.hasher.hash_one(id);
         self.known.insert(hash, (number, known));
@@ -165,7 +183,16 @@
 
     fn line(id: &str, port: u16, cell: u32, state: ServerState) -> ServerLine {
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        ServerLine { id: id.into(), addr, zone: String::new(), kind: String::new(), cell, state, weight: 0.0 }
+        ServerLine {
+            id: id.into(),
+            addr,
+            zone: String::new(),
+            kind: String::new(),
+            cell,
+            state,
+            weight: 0.0,
+            slots: None,
+        }
     }
 
     #[test]
--- a/src/bin/hatchline-adapter/host.rs
+++ b/src/bin/hatchline-adapter/host.rs
@@ -47,6 +47,7 @@
         zone: u32::from(entry.zone),
         state,
         rate: f64::from(entry.size),
+        slots: None,
     })
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -272,6 +272,7 @@
             let kind = e.kind as usize;
             let apart = self.s.routes_apart.get(kind).copied().unwrap_or(false);
             let d = self.destinations.entry(e.destination).or_default();
+            d.slots = e.slots;
             let known = self.targets.get(&e.target).map(|t| t.lane);
             let lane = known.or(if apart { None } else { d.lanes.first().copied() }).unwrap_or_else(|| {
                 let times = AnswerTimes::new();
@@ -713,7 +714,8 @@
     /// The best send for one destination now: urgency, message, lane, endpoint, trial.
     fn best_send(&mut self, dest: DestinationId) -> Option<Pick> {
         let d = self.destinations.get(&dest)?;
-        let cap = ((f64::from(self.s.slots) * DESTINATION_SHARE) as u32).max(1);
+        let share = (f64::from(self.s.slots) * DESTINATION_SHARE) as u32;
+        let cap = share.min(d.slots.unwrap_or(share)).max(1);
         let calls: usize = d.lanes.iter().map(|l| self.lanes[*l].calls.len()).sum();
         if calls as u32 >= cap || d.ready.is_empty() {
             return None;
@@ -988,6 +990,9 @@
     }
 }
 
+#[path = "view.rs"]
+mod view;
+
 #[cfg(test)]
 #[path = "brain_tests.rs"]
 mod tests;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,9 @@
     pub state: EndpointState,
     /// See [`ListedRate`].
     pub rate: f64,
+    /// Calls out to the destination at once at most; none where only the share of all slots binds. The latest line
+    /// of a destination counts.
+    pub slots: Option<u32>,
 }
 
 /// How a list event relates to the list so far.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod interface;
 pub mod settings;
 mod state;
+pub mod views;
 
 pub use brain::Brain;
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Destination {
     pub lanes: Vec<usize>,
+    /// Calls out to it at most, beside the share of all slots.
+    pub slots: Option<u32>,
     /// Messages ready to go, by class and by the zone (plus one) that binds them, oldest first.
     pub ready: BTreeMap<(usize, u32), BTreeSet<(Micros, MessageId)>>,
 }
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,50 @@
+//! What the decisions look like from outside, for people: read, never acted on.
+
+use super::Brain;
+use crate::interface::*;
+use crate::state::Gate;
+use crate::views::*;
+use std::collections::BTreeMap;
+
+impl Brain {
+    /// A picture of every destination at a time. Bounded work: it looks at destinations, targets and calls out, not
+    /// at single messages.
+    pub fn view(&self, now: Micros) -> Vec<DestinationView> {
+        let rest = |until: Micros| until.saturating_sub(now);
+        let lane = |lane: &usize| {
+            let l = &self.lanes[*lane];
+            let mut calls: BTreeMap<TargetId, u32> = BTreeMap::new();
+            l.calls.values().for_each(|c| *calls.entry(c.target).or_default() += 1);
+            let targets = l.targets.iter().filter_map(|id| {
+                let t = self.targets.get(id)?;
+                let (calls, avoided) = (calls.get(id).copied().unwrap_or(0), rest(t.avoid_until));
+                Some(TargetView { target: *id, state: t.state, calls, avoided })
+            });
+            let health = match l.gate {
+                Gate::Open if l.failing > super::LOSSY => Health::Failing,
+                Gate::Open => Health::Open,
+                Gate::Out { next, .. } => Health::Out { next: rest(next) },
+                Gate::Ramp { since } => Health::Warming { since: now.saturating_sub(since) },
+            };
+            LaneView {
+                targets: targets.collect(),
+                health,
+                trouble: l.trouble.map(|since| now.saturating_sub(since)),
+                failing: l.failing,
+                wait: rest(l.wait_until),
+                window: l.window,
+                calls: l.calls.len() as u32,
+                tau: l.times.tau as Micros,
+                mean: if l.times.answers > 0 { l.times.mean() as Micros } else { 0 },
+                pace: l.pace,
+                limit: l.limit,
+            }
+        };
+        let destination = |(id, d): (&DestinationId, &crate::state::Destination)| DestinationView {
+            destination: *id,
+            ready: d.ready.values().map(|set| set.len() as u32).sum(),
+            lanes: d.lanes.iter().map(lane).collect(),
+        };
+        self.destinations.iter().map(destination).collect()
+    }
+}
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -1,165 +1,20 @@
 //! Stand-ins on loopback for all that a forwarder talks to, and the forwarder as a process.
 
 use serde_json::{json, Value};
-use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tempfile::TempDir;
 
-/// What is waited for comes at once on an idle machine; this is for one that is not.
-pub const PATIENCE: Duration = Duration::from_secs(30);
-
-pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(start.elapsed() < PATIENCE, "not in {PATIENCE:?}: {what}");
-        thread::sleep(Duration::from_millis(5));
-    }
-}
-
-#[derive(Clone, Debug)]
-pub struct Request {
-    pub method: String,
-    pub path: String,
-    pub headers: HashMap<String, String>,
-    pub body: Vec<u8>,
-    pub at: Instant,
-    /// Number of the connection it came on.
-    pub connection: usize,
-}
-
-impl Request {
-    pub fn id(&self) -> &str {
-        &self.headers["x-request-id"]
-    }
-}
-
-/// What a stand-in does with a request.
-#[derive(Clone)]
-pub enum Reply {
-    /// Answers with a status and header lines.
-    Status(u16, &'static str),
-    /// Answers with a body.
-    Body(Vec<u8>),
-    /// Writes these bytes, whatever they mean.
-    Raw(&'static [u8]),
-    /// Answers 200 and closes the connection without having said so.
-    OkAndClose,
-    /// Answers after a while.
-    Later(Duration, u16),
-    /// Never answers; keeps the connection open.
-    Silence,
-    Close,
-}
-
-pub const OK: Reply = Reply::Status(200, "");
+pub use foldtrack_standin::http::*;
+pub use foldtrack_standin::{eventually, PATIENCE};
 
 /// Version and lines of the list, and news of a change.
 type List = (Mutex<(u64, Vec<Value>)>, Condvar);
-type Behaviour = Box<dyn Fn(&Request) -> Reply + Send + Sync>;
-
-/// An HTTP server with a thread for each connection. Its port is freed when the test's process ends.
-pub struct Server {
-    pub address: SocketAddr,
-    seen: Mutex<Vec<Request>>,
-    /// Connections closed after an answer.
-    pub closed: AtomicUsize,
-    behaviour: Mutex<Arc<Behaviour>>,
-}
-
-fn read_request(stream: &mut BufReader<TcpStream>, connection: usize) -> Option<Request> {
-    let mut line = String::new();
-    stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
-    let mut words = line.split_whitespace();
-    let (method, path) = (words.next()?.to_string(), words.next()?.to_string());
-    let mut headers = HashMap::new();
-    loop {
-        let mut line = String::new();
-        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        headers.insert(name.to_lowercase(), value.trim().to_string());
-    }
-    let length = headers.get("content-length").map_or(0, |l| l.parse().unwrap());
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some(Request { method, path, headers, body, at: Instant::now(), connection })
-}
-
-impl Server {
-    pub fn start(behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) -> Arc<Server> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let server = Arc::new(Server {
-            address: listener.local_addr().unwrap(),
-            seen: Mutex::default(),
-            closed: AtomicUsize::new(0),
-            behaviour: Mutex::new(Arc::new(Box::new(behaviour))),
-        });
-        let shared = server.clone();
-        thread::spawn(move || {
-            for (connection, stream) in listener.incoming().enumerate() {
-                let (server, stream) = (shared.clone(), stream.unwrap());
-                thread::spawn(move || server.serve(stream, connection));
-            }
-        });
-        server
-    }
-
-    fn serve(&self, mut stream: TcpStream, connection: usize) {
-        stream.set_nodelay(true).unwrap();
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while let Some(request) = read_request(&mut reader, connection) {
-            self.seen.lock().unwrap().push(request.clone());
-            let behaviour = self.behaviour.lock().unwrap().clone();
-            let status = |status: u16, headers: &str, body: &[u8]| {
-                let head =
-                    format!("HTTP/1.1 {status} Told\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
-                [head.as_bytes(), body].concat()
-            };
-            let answer = match behaviour(&request) {
-                Reply::Status(code, headers) => status(code, headers, b""),
-                Reply::Body(body) => status(200, "", &body),
-                Reply::Raw(bytes) => bytes.to_vec(),
-                Reply::Later(after, code) => {
-                    thread::sleep(after);
-                    status(code, "", b"")
-                }
-                Reply::OkAndClose => {
-                    let _ = stream.write_all(&status(200, "", b""));
-                    let _ = stream.shutdown(Shutdown::Both);
-                    self.closed.fetch_add(1, Ordering::SeqCst);
-                    return;
-                }
-                Reply::Silence => {
-                    let _ = reader.read_to_end(&mut Vec::new());
-                    return;
-                }
-                Reply::Close => return,
-            };
-            if stream.write_all(&answer).is_err() {
-                return;
-            }
-        }
-    }
-
-    pub fn behave(&self, behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) {
-        *self.behaviour.lock().unwrap() = Arc::new(Box::new(behaviour));
-    }
-
-    pub fn seen(&self) -> Vec<Request> {
-        self.seen.lock().unwrap().clone()
-    }
-
-    pub fn ids(&self) -> Vec<String> {
-        self.seen().iter().map(|r| r.id().to_string()).collect()
-    }
-}
-
 /// Discovery and the takers of notices.
 pub struct Platform {
     pub server: Arc<Server>,
