--- a/crates/ends/src/end.rs
+++ b/crates/ends/src/end.rs
@@ -18,6 +18,63 @@
     },
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It is out.
+    Out,
+    /// Served.
+    Ok,
+    /// Answered with an error.
+    Error,
+    /// Turned away: over a limit, shut or draining.
+    Full,
+    /// No answer in time.
+    TimedOut,
+    /// No connection.
+    NotConnected,
+    /// The connection broke.
+    Reset,
+    /// Called off.
+    Cancelled,
+    /// Answered in a way that can't be read.
+    Spoilt,
+    /// Not sent at all.
+    NotSent,
+    /// Out when its process ended.
+    Lost,
+    /// Of an earlier process, which knew that it had not run.
+    DidNotRun,
+    /// Of an earlier process, which could not tell.
+    MayHaveRun,
+}
+
+impl Outcome {
+    /// The word of the control protocol.
+    pub fn word(self) -> &'static str {
+        match self {
+            Outcome::Out => "out",
+            Outcome::Ok => "ok",
+            Outcome::Error => "error",
+            Outcome::Full => "full",
+            Outcome::TimedOut => "timed out",
+            Outcome::NotConnected => "not connected",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::Spoilt => "spoilt",
+            Outcome::NotSent => "not sent",
+            Outcome::Lost => "lost",
+            Outcome::DidNotRun => "did not run",
+            Outcome::MayHaveRun => "may have run",
+        }
+    }
+
+    /// Whether it surely has not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NotConnected | Outcome::NotSent | Outcome::DidNotRun)
+    }
+}
+
 /// An attempt, as far as it is known. Times are Unix time in microseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
@@ -27,10 +84,8 @@
     pub until: u64,
     /// The endpoint's name.
     pub endpoint: String,
-    /// The outcome, in the words of the control protocol.
-    pub outcome: String,
-    /// It ran, or nobody can tell.
-    pub may_have_run: bool,
+    /// How it ended.
+    pub outcome: Outcome,
 }
 
 /// The end of a message. Times are Unix time in microseconds.
@@ -56,7 +111,62 @@
     pub attempts: Vec<Attempt>,
 }
 
+/// An end whose names stand elsewhere: it is written as an [`End`].
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct EndRef<'a> {
+    /// See [`End::number`].
+    pub number: u64,
+    /// See [`End::id`].
+    pub id: &'a str,
+    /// See [`End::class`].
+    pub class: &'a str,
+    /// See [`End::partner`].
+    pub partner: &'a str,
+    /// See [`End::key`].
+    pub key: &'a str,
+    /// See [`End::taken`].
+    pub taken: u64,
+    /// See [`End::ended`].
+    pub ended: u64,
+    /// See [`End::result`].
+    pub result: Result,
+    /// See [`End::attempts`].
+    pub attempts: &'a [Attempt],
+}
+
+impl EndRef<'_> {
+    /// With names of its own.
+    pub fn to_owned(&self) -> End {
+        End {
+            number: self.number,
+            id: self.id.into(),
+            class: self.class.into(),
+            partner: self.partner.into(),
+            key: self.key.into(),
+            taken: self.taken,
+            ended: self.ended,
+            result: self.result,
+            attempts: self.attempts.to_vec(),
+        }
+    }
+}
+
 impl End {
+    /// By reference.
+    pub fn by_ref(&self) -> EndRef<'_> {
+        EndRef {
+            number: self.number,
+            id: &self.id,
+            class: &self.class,
+            partner: &self.partner,
+            key: &self.key,
+            taken: self.taken,
+            ended: self.ended,
+            result: self.result,
+            attempts: &self.attempts,
+        }
+    }
+
     /// Bytes that the end of a message with so many bytes of names, and so many attempts of endpoints with names of
     /// `endpoint` bytes, takes at most.
     pub fn room(names: usize, attempts: usize, endpoint: usize) -> u64 {
--- a/crates/ends/src/lib.rs
+++ b/crates/ends/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod shelf;
 mod store;
 
-pub use end::{Attempt, End, Result};
+pub use end::{Attempt, End, EndRef, Outcome, Result};
 pub use store::{Fetched, Store};
--- a/crates/ends/src/store.rs
+++ b/crates/ends/src/store.rs
@@ -1,6 +1,6 @@
 //! The ends in the files of a folder.
 
-use crate::end::End;
+use crate::end::{End, EndRef};
 use crate::shelf::{Bounds, Segment, Shelf};
 use foldtrack_journal::frame;
 use serde::{Deserialize, Serialize};
@@ -18,7 +18,7 @@
 const FETCH: u64 = 128 << 10;
 const SUFFIX: &str = "ends";
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Deserialize)]
 enum Record {
     /// The first of a segment.
     Head {
@@ -32,6 +32,14 @@
     Acknowledged(u64),
 }
 
+/// The same, by reference: what is written is not copied before.
+#[derive(Serialize)]
+enum Written<'a> {
+    Head { format: u32, first: u64, acknowledged: u64, highest_number: u64 },
+    End(EndRef<'a>),
+    Acknowledged(u64),
+}
+
 /// Where an end stands.
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -65,9 +73,15 @@
     by_name: HashMap<u64, u64>,
     hasher: RandomState,
     highest_number: u64,
-    /// Length of what is whole in the open segment. Behind it a part of a record may stand that could not be cut
-    /// off; it is cut off before the next one is written.
+    /// Length of what is whole in the open segment. Behind it a part of a write may stand that could not be cut off;
+    /// it is cut off before the next one.
     whole: u64,
+    /// What follows it at the next [`Store::commit`].
+    staged: Vec<u8>,
+    /// Sequence number of the next end when the last commit was done: those from it on are not told yet.
+    committed: u64,
+    /// The last write may have left something behind `whole`.
+    torn: bool,
 }
 
 fn named(path: &Path, error: io::Error) -> io::Error {
@@ -100,6 +114,9 @@
             hasher: RandomState::new(),
             highest_number: 0,
             whole: 0,
+            staged: Vec::new(),
+            committed: 0,
+            torn: false,
         };
         let last = names.len().saturating_sub(1);
         for (n, (first, path)) in names.into_iter().enumerate() {
@@ -110,6 +127,9 @@
                 (store.shelf.next(), store.shelf.acknowledged, store.highest_number);
             store.begin_segment(first, acknowledged, number)?;
         }
+        // What has been dropped was acknowledged, though the record of that may have been lost with the process.
+        store.shelf.acknowledged = store.shelf.acknowledged.max(store.oldest() - 1);
+        store.committed = store.shelf.next();
         Ok(store)
     }
 
@@ -130,7 +150,7 @@
                     self.highest_number = self.highest_number.max(highest_number);
                 }
                 Record::End(end) if at > 0 => {
-                    self.index(&end, segment.next, first, at as u64, found.len());
+                    self.index(end.by_ref(), segment.next, first, at as u64, found.len());
                     segment.next += 1;
                     segment.newest = end.ended;
                 }
@@ -166,8 +186,8 @@
         Ok(())
     }
 
-    fn index(&mut self, end: &End, sequence: u64, segment: u64, at: u64, length: usize) {
-        let name = self.hasher.hash_one(&end.id);
+    fn index(&mut self, end: EndRef<'_>, sequence: u64, segment: u64, at: u64, length: usize) {
+        let name = self.hasher.hash_one(end.id);
         self.by_name.insert(name, sequence);
         self.highest_number = self.highest_number.max(end.number);
         self.places.push_back(Place { segment, at, length: length as u32, name, number: end.number });
@@ -175,7 +195,7 @@
 
     fn begin_segment(&mut self, first: u64, acknowledged: u64, highest_number: u64) -> io::Result<()> {
         let path = self.folder.join(format!("{first:020}.{SUFFIX}"));
-        let head = frame::encode(&Record::Head { format: FORMAT, first, acknowledged, highest_number })?;
+        let head = frame::encode(&Written::Head { format: FORMAT, first, acknowledged, highest_number })?;
         let written = || {
             let mut file = OpenOptions::new().read(true).append(true).create_new(true).open(&path)?;
             file.write_all(&head).map(|()| file)
@@ -196,18 +216,29 @@
         self.shelf.has_room(held, reserved)
     }
 
-    /// Keeps an end; gives its sequence number. It outlives the process from the return on.
+    /// Whether keeping an end now may drop older ones.
+    pub fn drops(&self, now: u64) -> bool {
+        self.shelf.oldest_goes(now, self.shelf.bounds.segment())
+    }
+
+    /// Stages an end; gives its sequence number. It is kept from the next [`Store::commit`] on, and told from then on.
     ///
     /// # Errors
-    /// It is not in the file, and its message must stay where it is. The same end may be given again.
-    pub fn append(&mut self, end: &End) -> io::Result<u64> {
-        let frame = frame::encode(&Record::End(end.clone()))?;
+    /// It is longer than a record can be.
+    pub fn append(&mut self, end: EndRef<'_>) -> io::Result<u64> {
+        let frame = frame::encode(&Written::End(end))?;
         self.drop_old(end.ended, frame.len() as u64);
         let open = self.shelf.segments.back().copied().unwrap_or_default();
         if open.next > open.first && open.bytes + frame.len() as u64 > self.shelf.bounds.segment() {
-            self.begin_segment(open.next, self.shelf.acknowledged, self.highest_number)?;
+            // Where that fails the segment grows, and the next end tries again.
+            let begun = self
+                .commit()
+                .and_then(|()| self.begin_segment(open.next, self.shelf.acknowledged, self.highest_number));
+            if let Err(error) = begun {
+                eprintln!("ends: {error}");
+            }
         }
-        let at = self.write(&frame)?;
+        let at = self.stage(&frame);
         let Some(open) = self.shelf.segments.back_mut() else { return Err(io::Error::other("no segment")) };
         let (sequence, segment) = (open.next, open.first);
         open.next += 1;
@@ -216,33 +247,53 @@
         Ok(sequence)
     }
 
-    /// Appends to the open segment; gives where.
-    fn write(&mut self, frame: &[u8]) -> io::Result<u64> {
-        let (Some(file), Some(open)) = (self.files.back_mut(), self.shelf.segments.back_mut()) else {
-            return Err(io::Error::other("no segment"));
-        };
-        let at = self.whole;
-        if open.bytes != at {
-            file.set_len(at)?;
-            open.bytes = at;
+    /// Gives where the frame will stand in the open segment.
+    fn stage(&mut self, frame: &[u8]) -> u64 {
+        let at = self.whole + self.staged.len() as u64;
+        self.staged.extend_from_slice(frame);
+        if let Some(open) = self.shelf.segments.back_mut() {
+            open.bytes = self.whole + self.staged.len() as u64;
+        }
+        at
+    }
+
+    /// Writes what is staged, in one stroke. It outlives the process from the return on.
+    ///
+    /// # Errors
+    /// It is not in the file, and stays staged: the next commit tries again.
+    pub fn commit(&mut self) -> io::Result<()> {
+        if self.staged.is_empty() {
+            return Ok(());
+        }
+        let Some(file) = self.files.back_mut() else { return Err(io::Error::other("no segment")) };
+        if self.torn {
+            file.set_len(self.whole)?;
+            self.torn = false;
         }
-        if let Err(error) = file.write_all(frame) {
+        if let Err(error) = file.write_all(&self.staged) {
             // What was written of it would hide what follows from a restart.
-            open.bytes = if file.set_len(at).is_ok() { at } else { at + frame.len() as u64 };
+            self.torn = file.set_len(self.whole).is_err();
             return Err(error);
         }
-        self.whole += frame.len() as u64;
-        open.bytes = self.whole;
-        Ok(at)
+        self.whole += self.staged.len() as u64;
+        self.staged.clear();
+        self.committed = self.shelf.next();
+        Ok(())
+    }
+
+    /// Whether something is staged that a commit did not write.
+    pub fn is_behind(&self) -> bool {
+        !self.staged.is_empty()
     }
 
-    /// Acknowledges every end up to `cursor`. A kill may undo the latest: what it acknowledged is fetched once more.
+    /// Acknowledges every end up to `cursor`; it is written with the next [`Store::commit`]. A kill may undo the
+    /// latest: what it acknowledged is fetched once more.
     ///
     /// # Errors
-    /// It lies beyond the last end, which nobody can have fetched; or it could not be written.
+    /// It lies beyond the last end, which nobody can have fetched.
     pub fn acknowledge(&mut self, cursor: u64, now: u64) -> io::Result<()> {
-        if cursor >= self.shelf.next() {
-            let last = self.shelf.next() - 1;
+        if cursor >= self.committed {
+            let last = self.last();
             return Err(io::Error::new(
                 io::ErrorKind::InvalidInput,
                 format!("the last end is {last}, not {cursor}"),
@@ -251,8 +302,8 @@
         if cursor <= self.shelf.acknowledged {
             return Ok(());
         }
-        let frame = frame::encode(&Record::Acknowledged(cursor))?;
-        self.write(&frame)?;
+        let frame = frame::encode(&Written::Acknowledged(cursor))?;
+        self.stage(&frame);
         self.shelf.acknowledged = cursor;
         self.drop_old(now, 0);
         Ok(())
@@ -286,7 +337,7 @@
         let from = (cursor + 1).max(oldest);
         let mut fetched = Fetched { ends: Vec::new(), cursor: cursor.min(self.last()) };
         let mut bytes = 0;
-        for sequence in (from..self.shelf.next()).take(most) {
+        for sequence in (from..self.committed).take(most) {
             let Some(end) = self.read(sequence)? else { break };
             bytes += u64::from(self.places[(sequence - oldest) as usize].length);
             fetched.ends.push((sequence, end));
@@ -311,7 +362,11 @@
             return Ok(None);
         };
         let mut bytes = vec![0; place.length as usize];
-        self.files[n].read_exact_at(&mut bytes, place.at)?;
+        let open = n + 1 == self.shelf.segments.len();
+        match place.at.checked_sub(self.whole).filter(|_| open) {
+            Some(at) => bytes.copy_from_slice(&self.staged[at as usize..][..place.length as usize]),
+            None => self.files[n].read_exact_at(&mut bytes, place.at)?,
+        }
         match frame::decode::<Record>(&bytes) {
             Some((_, Record::End(end))) => Ok(Some(end)),
             _ => Err(io::Error::other(format!("end {sequence} can't be read any more"))),
@@ -328,9 +383,9 @@
         Ok(self.read(*sequence)?.filter(|end| end.id == id).map(|end| (*sequence, end)))
     }
 
-    /// Sequence number of the last end, 0 for none.
+    /// Sequence number of the last end that is told, 0 for none.
     pub fn last(&self) -> u64 {
-        self.shelf.next() - 1
+        self.committed - 1
     }
 
     /// Every end up to this one has been acknowledged.
--- a/crates/ends/src/store_tests.rs
+++ b/crates/ends/src/store_tests.rs
@@ -1,11 +1,10 @@
 use super::*;
-use crate::end::{Attempt, Result};
+use crate::end::{Attempt, Outcome, Result};
 
 const BOUNDS: Bounds = Bounds { count: 1000, size: 128 << 10, age: 1 << 40 };
 
 fn end(n: u64) -> End {
-    let attempt =
-        Attempt { at: n, until: n + 1, endpoint: "a".into(), outcome: "ok".into(), may_have_run: true };
+    let attempt = Attempt { at: n, until: n + 1, endpoint: "a".into(), outcome: Outcome::Ok };
     End {
         number: n,
         id: format!("m{n}"),
@@ -23,6 +22,17 @@
     Store::open(folder, BOUNDS).unwrap()
 }
 
+fn keep(store: &mut Store, end: End) -> u64 {
+    let sequence = store.append(end.by_ref()).unwrap();
+    store.commit().unwrap();
+    sequence
+}
+
+fn acknowledge(store: &mut Store, cursor: u64) {
+    store.acknowledge(cursor, 0).unwrap();
+    store.commit().unwrap();
+}
+
 fn ids(fetched: &Fetched) -> Vec<u64> {
     fetched.ends.iter().map(|(_, e)| e.number).collect()
 }
@@ -31,13 +41,13 @@
 fn ends_come_in_order_at_least_once_over_restarts() {
     let folder = tempfile::tempdir().unwrap();
     let mut store = open(folder.path());
-    (1..=10).for_each(|n| assert_eq!(store.append(&end(n)).unwrap(), n));
+    (1..=10).for_each(|n| assert_eq!(keep(&mut store, end(n)), n));
     let first = store.fetch(0, 4).unwrap();
     assert_eq!((ids(&first), first.cursor), (vec![1, 2, 3, 4], 4));
     // Killed between the fetch and its acknowledgement: fetched once more.
     let mut store = open(folder.path());
     assert_eq!(ids(&store.fetch(store.acknowledged(), 4).unwrap()), [1, 2, 3, 4]);
-    store.acknowledge(4, 0).unwrap();
+    acknowledge(&mut store, 4);
     let mut store = open(folder.path());
     assert_eq!(store.acknowledged(), 4);
     assert_eq!(ids(&store.fetch(4, 100).unwrap()), [5, 6, 7, 8, 9, 10]);
@@ -52,10 +62,10 @@
 fn an_end_torn_anywhere_is_wholly_there_or_wholly_not() {
     let folder = tempfile::tempdir().unwrap();
     let mut store = open(folder.path());
-    (1..=3).for_each(|n| assert_eq!(store.append(&end(n)).unwrap(), n));
+    (1..=3).for_each(|n| assert_eq!(keep(&mut store, end(n)), n));
     let path = folder.path().join(format!("{:020}.ends", 1));
     let before = store.whole as usize;
-    store.append(&end(4)).unwrap();
+    keep(&mut store, end(4));
     let bytes = fs::read(&path).unwrap();
     for cut in 0..=bytes.len() {
         fs::write(&path, &bytes[..cut]).unwrap();
@@ -63,7 +73,7 @@
         if cut >= before {
             assert_eq!(again.last(), if cut == bytes.len() { 4 } else { 3 }, "cut at {cut}");
         }
-        let next = again.append(&end(9)).unwrap();
+        let next = keep(&mut again, end(9));
         let whole = open(folder.path());
         assert_eq!((whole.last(), whole.read(next).unwrap()), (next, Some(end(9))), "cut at {cut}");
     }
@@ -78,22 +88,25 @@
     // Nobody fetches: taken on until the bound, with 10 held all the time.
     while store.has_room(10, 10 * room) {
         number += 1;
-        store.append(&end(number)).unwrap();
+        keep(&mut store, end(number));
     }
     assert!((100..=991).contains(&number), "{number} ends");
     // What is held ends all the same, within the bounds, and nothing is dropped.
-    (1..=9).for_each(|n| assert_eq!(store.append(&end(number + n)).unwrap(), number + n));
+    (1..=9).for_each(|n| assert_eq!(keep(&mut store, end(number + n)), number + n));
     let on_disk =
         || fs::read_dir(folder.path()).unwrap().map(|f| f.unwrap().metadata().unwrap().len()).sum::<u64>();
     assert!(on_disk() <= BOUNDS.size);
     assert_eq!(store.fetch(0, 1).unwrap().ends[0].0, 1);
     // Fetched, there is room again, and the oldest go as new ones come.
-    store.acknowledge(store.last(), 0).unwrap();
+    let last = store.last();
+    acknowledge(&mut store, last);
     assert!(store.has_room(10, 10 * room));
     for n in 0..3000 {
         number += 1;
-        let sequence = store.append(&end(number)).unwrap();
-        assert!(n % 50 > 0 || store.acknowledge(sequence, 0).is_ok());
+        let sequence = keep(&mut store, end(number));
+        if n % 50 == 0 {
+            acknowledge(&mut store, sequence);
+        }
         assert!(on_disk() <= BOUNDS.size && store.kept().0 <= BOUNDS.count + 200);
     }
     assert!(store.oldest() > 1 && store.by_name.len() == store.places.len());
@@ -107,7 +120,7 @@
 fn damage_before_the_end_is_told_with_the_file() {
     let folder = tempfile::tempdir().unwrap();
     let mut store = open(folder.path());
-    (1..=3).for_each(|n| assert_eq!(store.append(&end(n)).unwrap(), n));
+    (1..=3).for_each(|n| assert_eq!(keep(&mut store, end(n)), n));
     let path = folder.path().join(format!("{:020}.ends", 1));
     let mut bytes = fs::read(&path).unwrap();
     bytes[60] ^= 1;
@@ -115,3 +128,40 @@
     let error = Store::open(folder.path(), BOUNDS).unwrap_err().to_string();
     assert!(error.contains(".ends: damaged at byte"), "{error}");
 }
+
+/// What is staged is found by its id, told to nobody, and gone with a process that does not commit it.
+#[test]
+fn an_end_is_told_once_it_is_kept() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = open(folder.path());
+    keep(&mut store, end(1));
+    store.append(end(2).by_ref()).unwrap();
+    store.append(end(3).by_ref()).unwrap();
+    assert_eq!((store.last(), ids(&store.fetch(0, 9).unwrap())), (1, vec![1]));
+    assert_eq!(store.look("m3").unwrap(), Some((3, end(3))));
+    assert!(store.acknowledge(2, 0).is_err() && store.is_behind());
+    assert_eq!(open(folder.path()).last(), 1);
+    store.commit().unwrap();
+    assert_eq!(ids(&store.fetch(0, 9).unwrap()), [1, 2, 3]);
+    assert_eq!(open(folder.path()).last(), 3);
+}
+
+/// A disk that takes nothing: what is staged stays, is found, and is written once there is room.
+#[test]
+fn a_write_that_fails_loses_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = open(folder.path());
+    keep(&mut store, end(1));
+    let path = folder.path().join(format!("{:020}.ends", 1));
+    let good = std::mem::replace(store.files.back_mut().unwrap(), File::open(&path).unwrap());
+    for n in 2..=2_000 {
+        store.append(end(n).by_ref()).unwrap();
+        assert!(store.commit().is_err(), "the file is read only");
+    }
+    assert_eq!((store.last(), store.look("m1999").unwrap().unwrap().0), (1, 1999));
+    *store.files.back_mut().unwrap() = good;
+    store.commit().unwrap();
+    keep(&mut store, end(2_001));
+    let again = open(folder.path());
+    assert_eq!((again.last(), again.look("m1999").unwrap().unwrap().0), (2_001, 1999));
+}
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -7,6 +7,8 @@
 
 const MARK: [u8; 2] = [0xf7, 0x1d];
 const HEAD: usize = 10;
+/// Bytes that are set aside for a frame; most are shorter.
+const USUAL: usize = 256;
 /// Bytes that no record is longer than: the membership of a whole site in one.
 pub const LONGEST: usize = 1 << 20;
 
@@ -15,15 +17,17 @@
 /// # Errors
 /// The record can't be encoded, or its content is longer than [`LONGEST`].
 pub fn encode<T: Serialize>(record: &T) -> io::Result<Vec<u8>> {
-    let content = postcard::to_stdvec(record).map_err(io::Error::other)?;
+    let mut frame = Vec::with_capacity(USUAL);
+    frame.extend_from_slice(&[0; HEAD]);
+    let mut frame = postcard::to_extend(record, frame).map_err(io::Error::other)?;
+    let content = &frame[HEAD..];
     if content.len() > LONGEST {
         return Err(io::Error::other("the record is too long"));
     }
-    let mut frame = Vec::with_capacity(HEAD + content.len());
-    frame.extend_from_slice(&MARK);
-    frame.extend_from_slice(&(content.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32fast::hash(&content).to_le_bytes());
-    frame.extend_from_slice(&content);
+    let (length, sum) = (content.len() as u32, crc32fast::hash(content));
+    frame[..2].copy_from_slice(&MARK);
+    frame[2..6].copy_from_slice(&length.to_le_bytes());
+    frame[6..HEAD].copy_from_slice(&sum.to_le_bytes());
     Ok(frame)
 }
 
--- a/crates/journal/src/messages.rs
+++ b/crates/journal/src/messages.rs
@@ -17,6 +17,8 @@
 /// Bytes at most that the two records of an attempt, and the one of a notice, take.
 const ATTEMPT_BYTES: u64 = 64;
 const NOTICE_BYTES: u64 = 64;
+/// Bytes that wait for the next write at most.
+const WAITING: usize = 4096;
 
 /// Whether an attempt has run, as far as its outcome tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -137,6 +139,8 @@
     live_bytes: u64,
     room: u64,
     reserve: u64,
+    /// Frames that go with the next write.
+    waiting: Vec<u8>,
 }
 
 impl Journal {
@@ -155,7 +159,8 @@
         let bytes = fs::read(&path)?;
         let reserve = (ATTEMPT_BYTES + longest_name as u64) * u64::from(max_attempts) + NOTICE_BYTES;
         let (live, live_bytes) = (BTreeMap::new(), 0);
-        let mut journal = Journal { path, file, length: 0, live, live_bytes, room, reserve };
+        let mut journal =
+            Journal { path, file, length: 0, live, live_bytes, room, reserve, waiting: Vec::new() };
         let mut restored = BTreeMap::new();
         let mut at = 0;
         while at < bytes.len() {
@@ -206,18 +211,62 @@
     /// The record is not in the file: the disk is full, say. What was written of it is cut off again.
     pub fn append(&mut self, number: u64, record: &Record) -> io::Result<()> {
         let frame = frame::encode(&(number, record))?;
-        let length = self.length + frame.len() as u64;
+        self.write(&frame)?;
+        self.keep(number, record, &frame);
+        Ok(())
+    }
+
+    /// Lets a message go without a write of its own: its record goes with the next one, or at [`Journal::flush`].
+    /// For messages whose end is kept elsewhere, by which a restart knows that they are over.
+    ///
+    /// # Errors
+    /// As of [`Journal::append`], if too much waits; the message is gone from the live ones all the same.
+    pub fn over_soon(&mut self, number: u64) -> io::Result<()> {
+        let frame = frame::encode(&(number, &Record::Over))?;
+        self.keep(number, &Record::Over, &frame);
+        self.waiting.extend_from_slice(&frame);
+        if self.waiting.len() > WAITING {
+            return self.flush();
+        }
+        Ok(())
+    }
+
+    /// Writes what waits for the next write.
+    ///
+    /// # Errors
+    /// It could not be written, and waits still.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.waiting.is_empty() {
+            return Ok(());
+        }
+        self.write(&[])
+    }
+
+    /// Appends what waits and a frame, in one write.
+    fn write(&mut self, frame: &[u8]) -> io::Result<()> {
+        let coming = (self.waiting.len() + frame.len()) as u64;
+        let length = self.length + coming;
         let full = length + self.live_bytes + frame.len() as u64 + SLACK / 2 > self.room;
         if full || length > 2 * self.live_bytes + STALE {
             self.compact()?;
         }
-        if let Err(error) = self.file.write_all(&frame) {
+        let written = if self.waiting.is_empty() {
+            self.file.write_all(frame)
+        } else {
+            self.waiting.extend_from_slice(frame);
+            let written = self.file.write_all(&self.waiting);
+            if written.is_err() {
+                self.waiting.truncate(self.waiting.len() - frame.len());
+            }
+            written
+        };
+        if let Err(error) = written {
             // What was written of it would stand between the records that follow.
             let _ = self.file.set_len(self.length);
             return Err(error);
         }
-        self.length += frame.len() as u64;
-        self.keep(number, record, &frame);
+        self.length += (self.waiting.len().max(frame.len())) as u64;
+        self.waiting.clear();
         Ok(())
     }
 
@@ -243,6 +292,8 @@
         match written.and_then(|file| fs::rename(&new, &self.path).map(|()| file)) {
             Ok(file) => {
                 (self.file, self.length) = (file, bytes.len() as u64);
+                // What waits is of messages that are not live: the new file does not name them.
+                self.waiting.clear();
                 Ok(())
             }
             Err(error) => {
@@ -346,6 +397,37 @@
         }
     }
 
+    /// Records that wait go with the next write or the flush, and a compaction between does not bring their
+    /// messages back.
+    #[test]
+    fn what_is_over_soon_is_over_after_the_next_write() {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut journal, _) = open(folder.path());
+        (1..=4).for_each(|n| journal.append(n, &accepted(50)).unwrap());
+        let before = journal.length;
+        journal.over_soon(1).unwrap();
+        assert_eq!((journal.length, fs::metadata(&journal.path).unwrap().len()), (before, before));
+        assert_eq!(open(folder.path()).1.len(), 4, "it waits");
+        journal.append(5, &accepted(50)).unwrap();
+        assert!(open(folder.path()).1.keys().copied().eq(2..=5));
+        journal.over_soon(2).unwrap();
+        journal.flush().unwrap();
+        assert!(open(folder.path()).1.keys().copied().eq(3..=5));
+        journal.over_soon(3).unwrap();
+        journal.compact().unwrap();
+        journal.append(6, &accepted(50)).unwrap();
+        assert_eq!(journal.length, fs::metadata(&journal.path).unwrap().len());
+        assert!(open(folder.path()).1.keys().copied().eq(4..=6));
+        // So many that they are written by themselves, within the bounds of the file.
+        for n in 7..2_000 {
+            journal.append(n, &accepted(50)).unwrap();
+            journal.over_soon(n).unwrap();
+            assert!(journal.waiting.len() <= WAITING);
+            assert_eq!(journal.length, fs::metadata(&journal.path).unwrap().len());
+        }
+        assert!(open(folder.path()).1.keys().copied().filter(|n| *n < 1_999).eq(4..=6));
+    }
+
     #[test]
     fn a_file_cut_anywhere_gives_the_records_before_the_cut() {
         let folder = tempfile::tempdir().unwrap();
--- a/src/bin/foldtrack/control.rs
+++ b/src/bin/foldtrack/control.rs
@@ -1,5 +1,5 @@
-//! The serving side of the control line, on a thread and a runtime of its own: what readers do, and how slowly, is
-//! nothing to the loop. The loop is asked for a picture a few times a second at most, whoever wants to see it.
+//! The serving side of the control line. Readers have a thread and a runtime of their own: what they do, and how
+//! slowly, is nothing to the loop. The loop is asked for a picture a few times a second at most, whoever wants to see it.
 
 use crate::door::{Ask as Front, Input, Inputs, Picture};
 use foldtrack_control::lines::{Lines, Unreadable, LONGEST};
@@ -9,12 +9,13 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream as StdStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener as Listener, UnixStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, Mutex, Notify};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -29,7 +30,10 @@
 const SLOW: Duration = Duration::from_secs(10);
 const USUAL_PUSH: u32 = 1000;
 const LEAST_PUSH: u32 = 200;
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between two that are let in.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+/// How long the readers' thread stays without a reader.
+const LINGER: Duration = Duration::from_secs(1);
 
 /// Binds the socket of a state folder whose lock is held: a file that stands there is a dead process's.
 pub(crate) fn bind(path: &Path) -> Result<UnixListener, String> {
@@ -47,20 +51,18 @@
     Ok(listener)
 }
 
-/// Serves the control line from now on.
+/// Serves the control line from now on, on this runtime; readers get a thread of their own.
 pub(crate) fn start(listener: UnixListener, inputs: Inputs) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("control line: {e}"))?;
-    let serve = move || {
-        runtime.block_on(async move {
-            match Listener::from_std(listener) {
-                Ok(listener) => accept(listener, inputs).await,
-                Err(e) => eprintln!("control line: {e}"),
-            }
-        })
-    };
-    let thread = std::thread::Builder::new().name("control".into()).spawn(serve);
-    thread.map(drop).map_err(|e| format!("control line: {e}"))
+    let listener = Listener::from_std(listener).map_err(|e| format!("control line: {e}"))?;
+    let line = Arc::new(Line {
+        inputs,
+        pictures: Mutex::default(),
+        ordered: Default::default(),
+        readers: Default::default(),
+        thread: Default::default(),
+    });
+    tokio::spawn(accept(listener, line));
+    Ok(())
 }
 
 /// The last picture, and the last with queues.
@@ -77,49 +79,87 @@
     /// When the last order was carried out: no picture that is older is shown.
     ordered: std::sync::Mutex<Option<Instant>>,
     readers: std::sync::Mutex<BTreeMap<u64, (Instant, Arc<Notify>)>>,
+    /// The way to the readers' thread, while there is one.
+    thread: std::sync::Mutex<Option<UnboundedSender<StdStream>>>,
 }
 
-async fn accept(listener: Listener, inputs: Inputs) {
+async fn accept(listener: Listener, line: Arc<Line>) {
     let uid = rustix::process::geteuid().as_raw();
-    let line = Arc::new(Line {
-        inputs,
-        pictures: Mutex::default(),
-        ordered: Default::default(),
-        readers: std::sync::Mutex::default(),
-    });
-    for number in 0.. {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    loop {
+        let accepted = listener.accept().await;
+        // The loop is on this thread: a crowd that connects all the time gets no more of it than this.
+        sleep(ACCEPT_PAUSE).await;
+        let Ok((stream, _)) = accepted else { continue };
         // The mode of the socket says so too; a descriptor may have been passed on.
         let allowed = stream.peer_cred().is_ok_and(|peer| peer.uid() == uid || peer.uid() == 0);
-        if !allowed {
-            continue;
+        let Ok(stream) = stream.into_std() else { continue };
+        if allowed {
+            hand_over(stream, &line);
         }
+    }
+}
+
+/// Gives a reader to the readers' thread, and starts that if there is none. A process with one thread is some
+/// percent faster than one with two: as long as nobody reads there is one.
+fn hand_over(stream: StdStream, line: &Arc<Line>) {
+    let mut thread = locked(&line.thread);
+    let unsent = match thread.as_ref() {
+        Some(readers) => readers.send(stream).map_err(|unsent| unsent.0),
+        None => Err(stream),
+    };
+    if let Err(stream) = unsent {
+        begin_thread(stream, line, &mut thread);
+    }
+}
+
+fn begin_thread(stream: StdStream, line: &Arc<Line>, thread: &mut Option<UnboundedSender<StdStream>>) {
+    let (sender, streams) = unbounded_channel();
+    let _ = sender.send(stream);
+    let line = line.clone();
+    let run = move || match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(read_all(streams, line)),
+        Err(e) => eprintln!("control line: {e}"),
+    };
+    match std::thread::Builder::new().name("control".into()).spawn(run) {
+        Ok(_) => *thread = Some(sender),
+        Err(e) => eprintln!("control line: {e}"),
+    }
+}
+
+/// The readers' thread: serves them until there has been none for a while.
+async fn read_all(mut streams: UnboundedReceiver<StdStream>, line: Arc<Line>) {
+    for number in 0.. {
+        let stream = loop {
+            if let Ok(Some(stream)) = timeout(LINGER, streams.recv()).await {
+                break stream;
+            }
+            let mut thread = locked(&line.thread);
+            if locked(&line.readers).is_empty() && streams.is_empty() {
+                *thread = None;
+                return;
+            }
+        };
+        let Ok(stream) = UnixStream::from_std(stream) else { continue };
         let leave = Arc::new(Notify::new());
         line.enter(number, &leave);
-        let (line, leave) = (line.clone(), leave);
+        let line = line.clone();
         tokio::spawn(async move {
             tokio::select! {
                 _ = serve(stream, number, &line) => {}
                 () = leave.notified() => {}
             }
-            line.locked().remove(&number);
+            locked(&line.readers).remove(&number);
         });
     }
 }
 
-impl Line {
-    fn locked(&self) -> std::sync::MutexGuard<'_, BTreeMap<u64, (Instant, Arc<Notify>)>> {
-        self.readers.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
+fn locked<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
 
+impl Line {
     fn enter(&self, number: u64, leave: &Arc<Notify>) {
-        let mut readers = self.locked();
+        let mut readers = locked(&self.readers);
         if readers.len() >= READERS {
             let quietest = readers.iter().min_by_key(|(_, (heard, _))| *heard).map(|(number, _)| *number);
             if let Some((_, leave)) = quietest.and_then(|n| readers.remove(&n)) {
@@ -130,7 +170,7 @@
     }
 
     fn heard(&self, number: u64) {
-        if let Some((heard, _)) = self.locked().get_mut(&number) {
+        if let Some((heard, _)) = locked(&self.readers).get_mut(&number) {
             *heard = Instant::now();
         }
     }
@@ -140,7 +180,7 @@
         // While one asks, the others wait here and get the same.
         let mut pictures = self.pictures.lock().await;
         let last = if queues { &mut pictures.with_queues } else { &mut pictures.plain };
-        let from = *self.ordered.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let from = *locked(&self.ordered);
         let fresh = |p: &&Arc<Picture>| p.at.elapsed() < FRESH && from.is_none_or(|from| p.at >= from);
         if let Some(picture) = last.as_ref().filter(fresh) {
             return Some(picture.clone());
@@ -283,7 +323,7 @@
         Ok(Err(refused)) => Told::Error(refused),
         Err(_) => ending(),
     };
-    *line.ordered.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(Instant::now());
+    *locked(&line.ordered) = Some(Instant::now());
     told
 }
 
--- a/src/bin/foldtrack/node/appliance.rs
+++ b/src/bin/foldtrack/node/appliance.rs
@@ -4,10 +4,11 @@
 use crate::config::SiteParts;
 use crate::door::Answer;
 use foldtrack_control::Failure;
-use foldtrack_ends::{End, Store};
+use foldtrack_ends::{self as ends, End, Store};
 use foldtrack_journal::messages::Notice;
 use hatchline::Outcome;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -59,10 +60,11 @@
     longest_wait_ms: u64,
     /// Ended while the answer that takes them on was under way: whether they were taken on is yet to be seen.
     pub pending: BTreeMap<u64, (Held, Notice)>,
-    /// Ends that the disk has not taken yet.
-    pub unkept: BTreeMap<u64, End>,
-    /// Messages whose end is kept, but that the journal does not know to be over.
-    pub unwritten: BTreeSet<u64>,
+    /// Messages whose ends are staged, how many of them the journal has been told of since the disk would not take
+    /// them, and when to try next.
+    pub ended: Vec<(u64, ends::Result)>,
+    pub behind_told: usize,
+    pub commit_from: Instant,
     pub counts: Counts,
     /// The latest at the end, each with its message's number.
     pub failures: VecDeque<(u64, Failure)>,
@@ -92,8 +94,9 @@
             attempts: site.limits.attempts as usize,
             longest_wait_ms: site.limits.longest_wait / 1000,
             pending: BTreeMap::new(),
-            unkept: BTreeMap::new(),
-            unwritten: BTreeSet::new(),
+            ended: Vec::new(),
+            behind_told: 0,
+            commit_from: Instant::now(),
             counts: Counts::default(),
             failures: VecDeque::new(),
             closed: HashMap::new(),
@@ -103,8 +106,12 @@
         }
     }
 
-    pub fn partner_name(&self, number: u32) -> String {
-        self.partners.get(&number).map_or_else(|| format!("partner {number}"), |p| p.name.clone())
+    pub fn partner_name(&self, number: u32) -> Cow<'_, str> {
+        match self.partners.get(&number) {
+            Some(partner) => Cow::Borrowed(&partner.name),
+            // It has left the site file since.
+            None => Cow::Owned(format!("partner {number}")),
+        }
     }
 
     /// Room that a message's end may take.
@@ -118,7 +125,8 @@
         let bytes = self.held_bytes + message.size() as u64 > self.held_most;
         let coming = held as u64 + self.pending.len() as u64 + 1;
         let ends = !self.ends.has_room(coming, self.reserved + self.room(message));
-        if !bytes && !ends && self.unkept.is_empty() {
+        // Ends that this round has staged count as kept; what an earlier one could not write is trouble.
+        if !bytes && !ends && self.behind_told == 0 {
             return None;
         }
         Some(self.full(if ends { UNFETCHED_WAIT_MS } else { 0 }))
@@ -165,22 +173,17 @@
     }
 }
 
-/// The control protocol's word for an outcome.
-pub(super) fn word(outcome: Outcome) -> &'static str {
+/// An outcome as it is kept with a message's attempts.
+pub(super) fn kept(outcome: Outcome) -> ends::Outcome {
     match outcome {
-        Outcome::Ok => "ok",
-        Outcome::Error => "error",
-        Outcome::Full => "full",
-        Outcome::TimedOut => "timed out",
-        Outcome::ConnectFailed => "not connected",
-        Outcome::Reset => "reset",
-        Outcome::Cancelled => "cancelled",
-        Outcome::Spoilt => "spoilt",
-        Outcome::NotSent => "not sent",
+        Outcome::Ok => ends::Outcome::Ok,
+        Outcome::Error => ends::Outcome::Error,
+        Outcome::Full => ends::Outcome::Full,
+        Outcome::TimedOut => ends::Outcome::TimedOut,
+        Outcome::ConnectFailed => ends::Outcome::NotConnected,
+        Outcome::Reset => ends::Outcome::Reset,
+        Outcome::Cancelled => ends::Outcome::Cancelled,
+        Outcome::Spoilt => ends::Outcome::Spoilt,
+        Outcome::NotSent => ends::Outcome::NotSent,
     }
 }
-
-/// Whether an attempt with this outcome surely has not run.
-pub(super) fn never_ran(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
-}
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -1,11 +1,11 @@
 //! What the module has decided is carried out, and how calls end.
 
-use super::appliance::{never_ran, word};
+use super::appliance::kept;
 use super::{Node, Taken, Waiting};
 use crate::door::CallEnd;
 use crate::targets::{self, Call};
 use foldtrack_control::Failure;
-use foldtrack_ends::Attempt;
+use foldtrack_ends::{self as ends, Attempt};
 use foldtrack_journal::messages::{Fate, Notice, Record};
 use hatchline::{Action, Event, Micros, Outcome, TargetId};
 use std::time::Duration;
@@ -134,7 +134,7 @@
         } else if end.over {
             self.delivered(end.number);
         } else if held {
-            let fate = if never_ran(end.outcome) { Fate::NeverRan } else { Fate::MayHaveRun };
+            let fate = if kept(end.outcome).never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             self.record(end.number, &Record::Ended(fate));
         }
         let now = self.clock.now();
@@ -158,7 +158,7 @@
             site.then(number, "sent again");
         }
         let endpoint = self.targets.name(target).to_string();
-        held.history.push(Attempt { at, until: 0, endpoint, outcome: "out".into(), may_have_run: true });
+        held.history.push(Attempt { at, until: 0, endpoint, outcome: ends::Outcome::Out });
     }
 
     fn attempt_ended(&mut self, end: &CallEnd) {
@@ -166,8 +166,7 @@
         let attempt = held.history.len() as u32;
         let Some(tried) = held.history.last_mut() else { return };
         tried.until = self.clock.unix(self.clock.now());
-        tried.outcome = word(end.outcome).into();
-        tried.may_have_run = !never_ran(end.outcome);
+        tried.outcome = kept(end.outcome);
         if end.outcome == Outcome::Ok {
             return;
         }
@@ -176,11 +175,11 @@
             at: tried.until,
             message: message.id.clone(),
             class: self.settings.class_names.get(message.class).cloned().unwrap_or_default(),
-            partner: site.partner_name(message.destination),
+            partner: site.partner_name(message.destination).into_owned(),
             endpoint: tried.endpoint.clone(),
             attempt,
-            outcome: tried.outcome.clone(),
-            may_have_run: tried.may_have_run,
+            outcome: tried.outcome.word().into(),
+            may_have_run: !tried.outcome.never_ran(),
             then: "waits".into(),
         };
         site.failed(end.number, message.destination, failure);
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -5,11 +5,16 @@
 use crate::notices::Ending;
 use crate::platform;
 use crate::table::Known;
-use foldtrack_ends::{End, Result as EndResult};
+use foldtrack_ends::{EndRef, Result as EndResult};
 use foldtrack_journal::messages::{Notice, Record};
 use hyper::StatusCode;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Pause after ends could not be written.
+const COMMIT_PAUSE: Duration = Duration::from_millis(200);
 
 impl Node {
     /// Writes what a restart can do without: lacking it, more counts as perhaps run than has.
@@ -55,27 +60,26 @@
                 let told = self.site.as_ref().map_or(retry_in_ms, |s| s.wait(retry_in_ms));
                 EndResult::HandedBack { retry_in_ms: told }
             }
-            Notice::GivenUp if held.history.iter().any(|a| a.may_have_run) => EndResult::InDoubt,
+            Notice::GivenUp if held.history.iter().any(|a| !a.outcome.never_ran()) => EndResult::InDoubt,
             Notice::GivenUp => EndResult::GivenUp,
         };
-        self.keep_end(number, &held, result);
+        self.keep_end(number, held, result);
     }
 
     /// A message is delivered: nothing more is owed for it but, at a site of its own, that its client hears.
     pub(super) fn delivered(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
         match self.site {
-            Some(_) => self.keep_end(number, &held, EndResult::Delivered),
+            Some(_) => self.keep_end(number, held, EndResult::Delivered),
             None => self.record(number, &Record::Over),
         }
     }
 
-    /// Keeps an end, and then lets the journal forget its message: in this order, so that no end is lost whenever
-    /// the process is killed.
-    fn keep_end(&mut self, number: u64, held: &Held, result: EndResult) {
+    /// Puts an end among those that this round keeps; see [`Node::commit_ends`].
+    fn keep_end(&mut self, number: u64, held: Held, result: EndResult) {
         let Some(site) = &mut self.site else { return };
         let message = &held.message;
-        let class = self.settings.class_names.get(message.class).cloned().unwrap_or_default();
+        let class = self.settings.class_names.get(message.class).map_or("", String::as_str);
         let counts = &mut site.counts;
         let (count, word) = match result {
             EndResult::Delivered => (&mut counts.delivered, "delivered"),
@@ -90,16 +94,24 @@
         if held.attempts > 1 || result != EndResult::Delivered {
             site.then(number, word);
         }
-        let end = End {
+        let ended = self.clock.unix(self.clock.now());
+        // An end that goes must not leave a message behind that the journal believes to be open.
+        if site.ends.drops(ended) {
+            if let Err(error) = self.journal.flush() {
+                eprintln!("journal: {error}");
+            }
+        }
+        let partner = site.partner_name(message.destination).into_owned();
+        let end = EndRef {
             number,
-            id: message.id.clone(),
+            id: &message.id,
             class,
-            partner: site.partner_name(message.destination),
-            key: message.key.clone(),
+            partner: &partner,
+            key: &message.key,
             taken: held.since,
-            ended: self.clock.unix(self.clock.now()),
+            ended,
             result,
-            attempts: held.history.clone(),
+            attempts: &held.history,
         };
         site.let_go(message);
         match result {
@@ -108,65 +120,56 @@
             EndResult::Delivered => self.ids.set(&message.id, Known::Taken),
             _ => self.ids.set(&message.id, Known::Ended),
         }
-        match site.ends.append(&end) {
-            Ok(sequence) => {
-                site.ends_seen.send_replace(sequence);
-                self.over(number);
-            }
-            Err(error) => {
-                eprintln!("ends: the end of {:?} is not written yet: {error}", end.id);
-                site.unkept.insert(number, end);
-                // The journal may have room where the ends' folder has none.
-                let told = match result {
-                    EndResult::Delivered => Record::Delivered,
-                    EndResult::HandedBack { retry_in_ms } => {
-                        Record::Noticed(Notice::HandedBack { retry_in_ms })
-                    }
-                    _ => Record::Noticed(Notice::GivenUp),
-                };
-                self.record(number, &told);
-            }
-        }
-    }
-
-    /// Lets the journal forget a message. At a site that is tried until it is written: a message whose end is kept
-    /// must not come back once that end has been forgotten.
-    pub(super) fn over(&mut self, number: u64) {
-        let written = self.journal.append(number, &Record::Over);
-        if let Err(error) = &written {
-            eprintln!("journal: {error}");
-        }
-        if let Some(site) = &mut self.site {
-            match written {
-                Ok(()) => site.unwritten.remove(&number),
-                Err(_) => site.unwritten.insert(number),
-            };
+        match site.ends.append(end) {
+            Ok(_) => site.ended.push((number, result)),
+            Err(error) => eprintln!("ends: the end of {:?} can't be kept: {error}", end.id),
         }
     }
 
-    /// Tries again to write what the disk did not take.
-    pub(super) fn keep_unkept(&mut self) {
+    /// Writes the ends of this round, and then lets the journal forget their messages: in this order, so that no end
+    /// is lost whenever the process is killed. An end tells a restart that its message is over: the journal's record
+    /// can go with the next one.
+    pub(super) fn commit_ends(&mut self) {
         let Some(site) = &mut self.site else { return };
-        site.ends.drop_old(self.clock.unix(self.clock.now()), 0);
-        while let Some((number, end)) = site.unkept.first_key_value().map(|(n, e)| (*n, e.clone())) {
-            match site.ends.append(&end) {
-                Ok(sequence) => {
-                    site.ends_seen.send_replace(sequence);
-                    site.unkept.remove(&number);
-                    site.unwritten.insert(number);
+        if !site.ends.is_behind() || site.commit_from > Instant::now() {
+            return;
+        }
+        match site.ends.commit() {
+            Ok(()) => {
+                site.ends_seen.send_replace(site.ends.last());
+                site.behind_told = 0;
+                for (number, _) in site.ended.drain(..) {
+                    if let Err(error) = self.journal.over_soon(number) {
+                        eprintln!("journal: {error}");
+                    }
                 }
-                Err(error) => {
-                    eprintln!("ends: {} are not written yet: {error}", site.unkept.len());
-                    break;
+            }
+            Err(error) => {
+                eprintln!("ends: {} are not written yet: {error}", site.ended.len());
+                site.commit_from = Instant::now() + COMMIT_PAUSE;
+                // The journal may have room where the ends' folder has none.
+                let told: Vec<_> = site.ended[site.behind_told..].to_vec();
+                site.behind_told = site.ended.len();
+                for (number, result) in told {
+                    let record = match result {
+                        EndResult::Delivered => Record::Delivered,
+                        EndResult::HandedBack { retry_in_ms } => {
+                            Record::Noticed(Notice::HandedBack { retry_in_ms })
+                        }
+                        _ => Record::Noticed(Notice::GivenUp),
+                    };
+                    self.record(number, &record);
                 }
             }
         }
-        let unwritten: Vec<u64> = site.unwritten.iter().copied().collect();
-        for number in unwritten {
-            self.over(number);
-            if self.site.as_ref().is_some_and(|s| s.unwritten.contains(&number)) {
-                return;
-            }
+    }
+
+    /// Drops ends that are out of their bounds. None goes before the journal knows its message to be over.
+    pub(super) fn sweep_ends(&mut self) {
+        let Some(site) = &mut self.site else { return };
+        match self.journal.flush() {
+            Ok(()) => site.ends.drop_old(self.clock.unix(self.clock.now()), 0),
+            Err(error) => eprintln!("journal: {error}"),
         }
     }
 
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -58,8 +58,7 @@
     /// What a client is told of a message whose end is kept. One that was handed back may come again.
     fn ended_before(&self, id: &str) -> Option<Answer> {
         let site = self.site.as_ref()?;
-        let end = site.unkept.values().find(|e| e.id == id).cloned();
-        let end = end.or_else(|| site.ends.look(id).ok().flatten().map(|(_, end)| end))?;
+        let (_, end) = site.ends.look(id).ok().flatten()?;
         match end.result {
             EndResult::Delivered => Some(Answer::Known { over: false }),
             EndResult::GivenUp | EndResult::InDoubt => Some(Answer::Known { over: true }),
@@ -107,7 +106,7 @@
     /// The client has its answer, and the message may go; or it has gone before, and nothing is taken on.
     pub(super) fn answered(&mut self, number: u64, written: bool) {
         if !written {
-            self.over(number);
+            self.record(number, &Record::Over);
             if let Some((held, _)) = self.site.as_mut().and_then(|s| s.pending.remove(&number)) {
                 self.ids.remove(&held.message.id);
                 self.site.iter_mut().for_each(|s| s.let_go(&held.message));
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -217,11 +217,12 @@
             self.carry_out(action);
         }
         self.answer_clients();
+        self.commit_ends();
         self.report_notices();
         self.step_down();
         if self.swept.elapsed() > SWEEP {
             self.swept = Instant::now();
-            self.keep_unkept();
+            self.sweep_ends();
             self.idle.sweep();
             let (now, keep) = (self.clock.now(), self.remember());
             self.ids.forget(now, self.most_ids);
--- a/src/bin/foldtrack/node/picture.rs
+++ b/src/bin/foldtrack/node/picture.rs
@@ -112,7 +112,7 @@
             ends_most: site.ends.bounds().count,
             ends_bytes,
             ends_bytes_most: site.ends.bounds().size,
-            ends_unwritten: site.unkept.len() as u32,
+            ends_unwritten: site.behind_told as u32,
             membership: self.membership.state().map_or(0, State::version),
             longest_round_us: longest.as_micros() as u64,
         }
@@ -228,7 +228,7 @@
         }
         all.sort_by(|a, b| order(a).cmp(&order(b)).then(a.0 .1.cmp(b.0 .1)));
         let queue = |((partner, key), heap): ((u32, &str), Heap)| Queue {
-            partner: site.partner_name(partner),
+            partner: site.partner_name(partner).into_owned(),
             key: key.to_string(),
             held: heap.held,
             oldest_ms: heap.age_ms(unix),
@@ -247,7 +247,7 @@
                 id: id.to_string(),
                 state: "held".into(),
                 class: self.settings.class_names.get(message.class).cloned().unwrap_or_default(),
-                partner: site.partner_name(message.destination),
+                partner: site.partner_name(message.destination).into_owned(),
                 key: message.key.clone(),
                 taken: held.since,
                 expires: self.clock.unix(message.expires),
@@ -255,21 +255,20 @@
                 ..Message::default()
             });
         }
-        let unkept = site.unkept.values().find(|e| e.id == id).cloned();
-        let end = unkept.or_else(|| match site.ends.look(id) {
-            Ok(found) => found.map(|(_, end)| end),
+        match site.ends.look(id) {
+            Ok(found) => found.map(|(_, end)| told_end(&end)),
             Err(error) => {
                 eprintln!("ends: {error}");
                 None
             }
-        });
-        end.as_ref().map(told_end)
+        }
     }
 }
 
 fn attempt(attempt: &foldtrack_ends::Attempt) -> Attempt {
-    let foldtrack_ends::Attempt { at, until, endpoint, outcome, may_have_run } = attempt.clone();
-    Attempt { at, until, endpoint, outcome, may_have_run }
+    let (endpoint, outcome) = (attempt.endpoint.clone(), attempt.outcome.word().into());
+    let may_have_run = !attempt.outcome.never_ran();
+    Attempt { at: attempt.at, until: attempt.until, endpoint, outcome, may_have_run }
 }
 
 /// An end as it is told.
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -5,7 +5,7 @@
 use crate::notices::Ending;
 use crate::table::Known;
 use foldtrack_ends::Attempt;
-use foldtrack_journal::messages::{Fate, Notice, Restored, Tried};
+use foldtrack_journal::messages::{Fate, Notice, Record, Restored, Tried};
 use hatchline::{Event, Outcome};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -17,7 +17,7 @@
         for (number, message) in restored {
             // The process ended between the end's record and the journal's.
             match ended.contains(&number) {
-                true => self.over(number),
+                true => self.record(number, &Record::Over),
                 false => self.restore(number, message),
             }
         }
@@ -89,16 +89,11 @@
 
 /// An attempt of an earlier process, as its journal knows it.
 fn lost(tried: &Tried) -> Attempt {
+    use foldtrack_ends::Outcome;
     let outcome = match tried.fate {
-        Some(Fate::NeverRan) => "did not run",
-        Some(Fate::MayHaveRun) => "may have run",
-        None => "lost",
+        Some(Fate::NeverRan) => Outcome::DidNotRun,
+        Some(Fate::MayHaveRun) => Outcome::MayHaveRun,
+        None => Outcome::Lost,
     };
-    Attempt {
-        at: tried.at,
-        until: 0,
-        endpoint: tried.endpoint.clone(),
-        outcome: outcome.into(),
-        may_have_run: tried.fate != Some(Fate::NeverRan),
-    }
+    Attempt { at: tried.at, until: 0, endpoint: tried.endpoint.clone(), outcome }
 }
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -42,7 +42,6 @@
     let ends = Store::open(&site.state.join("ends"), bounds).map_err(|e| e.to_string())?;
     let socket = control::bind(&site.control_socket())?;
     let (inputs, receiver) = door::channel();
-    control::start(socket, inputs.clone())?;
     let config = Config {
         listen: site.listen,
         state: site.state.clone(),
@@ -56,7 +55,10 @@
         site: Some(SiteParts { site, ends }),
     };
     let ends = [SignalKind::terminate(), SignalKind::interrupt()];
-    runtime()?.block_on(serve_until_told(config, inputs, receiver, &ends))
+    runtime()?.block_on(async {
+        control::start(socket, inputs.clone())?;
+        serve_until_told(config, inputs, receiver, &ends).await
+    })
 }
 
 /// Sets this process apart from others that start at the same moment.
