Make a picture of what is held some messages a round, one for all who ask

A reader that asked for queues had the loop look at every held message in one round, up to 8 ms with 10,000 held. A picture is made 1,000 messages a round now and holds everything, so that there is one for all readers.

--- a/src/bin/foldtrack/control.rs
+++ b/src/bin/foldtrack/control.rs
@@ -56,7 +56,7 @@
     let listener = Listener::from_std(listener).map_err(|e| format!("control line: {e}"))?;
     let line = Arc::new(Line {
         inputs,
-        pictures: Mutex::default(),
+        picture: Mutex::default(),
         ordered: Default::default(),
         readers: Default::default(),
         thread: Default::default(),
@@ -65,17 +65,11 @@
     Ok(())
 }
 
-/// The last picture, and the last with queues.
-#[derive(Default)]
-struct Last {
-    plain: Option<Arc<Picture>>,
-    with_queues: Option<Arc<Picture>>,
-}
-
 /// What all readers share.
 struct Line {
     inputs: Inputs,
-    pictures: Mutex<Last>,
+    /// The last picture.
+    picture: Mutex<Option<Arc<Picture>>>,
     /// When the last order was carried out: no picture that is older is shown.
     ordered: std::sync::Mutex<Option<Instant>>,
     readers: std::sync::Mutex<BTreeMap<u64, (Instant, Arc<Notify>)>>,
@@ -176,17 +170,16 @@
     }
 
     /// A picture that is fresh, and not older than the last order.
-    async fn picture(&self, queues: bool) -> Option<Arc<Picture>> {
+    async fn picture(&self) -> Option<Arc<Picture>> {
         // While one asks, the others wait here and get the same.
-        let mut pictures = self.pictures.lock().await;
-        let last = if queues { &mut pictures.with_queues } else { &mut pictures.plain };
+        let mut last = self.picture.lock().await;
         let from = *locked(&self.ordered);
         let fresh = |p: &&Arc<Picture>| p.at.elapsed() < FRESH && from.is_none_or(|from| p.at >= from);
         if let Some(picture) = last.as_ref().filter(fresh) {
             return Some(picture.clone());
         }
         let (reply, answer) = oneshot::channel();
-        self.inputs.send(Input::Site(Front::Picture { queues, reply }));
+        self.inputs.send(Input::Site(Front::Picture { reply }));
         let picture = answer.await.ok()?;
         *last = Some(picture.clone());
         Some(picture)
@@ -243,7 +236,7 @@
     let mut last: Option<Arc<Picture>> = None;
     let mut bytes = [0; 1024];
     loop {
-        let Some(picture) = line.picture(false).await else { return Ok(()) };
+        let Some(picture) = line.picture().await else { return Ok(()) };
         let same = |p: &Arc<Picture>| {
             let still = |p: &Picture| foldtrack_control::Status {
                 at: 0,
@@ -280,8 +273,7 @@
     let ending = || error("busy", "the forwarder is ending");
     let order = match ask {
         Ask::Status | Ask::Partners | Ask::Endpoints | Ask::Failures { .. } | Ask::Queues { .. } => {
-            let queues = matches!(ask, Ask::Queues { .. });
-            let Some(picture) = line.picture(queues).await else { return ending() };
+            let Some(picture) = line.picture().await else { return ending() };
             return show(ask, &picture);
         }
         Ask::Message { message } => {
@@ -295,7 +287,7 @@
         }
         Ask::Stop => {
             line.inputs.send(Input::Terminate);
-            let version = line.picture(false).await.map_or(0, |p| p.status.membership);
+            let version = line.picture().await.map_or(0, |p| p.status.membership);
             return Told::Done(foldtrack_control::Done { changed: true, version, calls: 0, held: 0 });
         }
         Ask::Add { partner, endpoint, address } => {
@@ -337,7 +329,7 @@
             Told::Failures(picture.failures.iter().take(most(lines)).cloned().collect())
         }
         Ask::Queues { partner, most: lines } => {
-            let queues = picture.queues.iter().flatten();
+            let queues = picture.queues.iter();
             let of = |q: &&foldtrack_control::Queue| partner.as_ref().is_none_or(|p| *p == q.partner);
             Told::Queues(queues.filter(of).take(most(lines)).cloned().collect())
         }
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -87,7 +87,7 @@
     /// What is known of a message.
     Message { id: String, reply: oneshot::Sender<Option<Message>> },
     /// A picture of all.
-    Picture { queues: bool, reply: oneshot::Sender<Arc<Picture>> },
+    Picture { reply: oneshot::Sender<Arc<Picture>> },
     /// An order. The answer comes when it is on the disk.
     Order { order: Order, reply: oneshot::Sender<Result<Done, Error>> },
 }
@@ -100,8 +100,8 @@
     pub partners: Vec<Partner>,
     pub endpoints: Vec<Endpoint>,
     pub failures: Vec<Failure>,
-    /// The longest of them, if they were asked for.
-    pub queues: Option<Vec<Queue>>,
+    /// The longest of them.
+    pub queues: Vec<Queue>,
 }
 
 /// The way to the node. The queue has no bound of its own: each connection and each call has one input under
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -95,6 +95,8 @@
     discovery: Option<watch::Sender<SocketAddr>>,
     /// What a site of its own has in its place.
     site: Option<Box<Appliance>>,
+    /// A picture for people that is being made.
+    scan: picture::Scan,
     /// Lists taken in. Their own versions begin anew where discovery moves.
     lists: u32,
     next_number: u64,
@@ -146,6 +148,7 @@
         membership: config.membership,
         discovery: config.discovery,
         site: site.map(Box::new),
+        scan: picture::Scan::default(),
         lists: 0,
         next_number: highest + 1,
         messages: BTreeMap::new(),
@@ -218,6 +221,7 @@
         }
         self.answer_clients();
         self.commit_ends();
+        self.step_scan();
         self.report_notices();
         self.step_down();
         if self.swept.elapsed() > SWEEP {
@@ -310,6 +314,9 @@
     }
 
     fn wake_at(&self) -> Instant {
+        if self.scan.is_running() {
+            return Instant::now();
+        }
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
         let reports = self.notices.due().map(|from| self.clock.instant(from));
         let stop = self.terminated.map(|at| {
--- a/src/bin/foldtrack/node/orders.rs
+++ b/src/bin/foldtrack/node/orders.rs
@@ -16,7 +16,7 @@
             // Whoever asked may have gone.
             Ask::Ends { after, peek, most, reply } => drop(reply.send(self.fetch(after, peek, most))),
             Ask::Message { id, reply } => drop(reply.send(self.history(&id))),
-            Ask::Picture { queues, reply } => drop(reply.send(self.picture(queues))),
+            Ask::Picture { reply } => self.picture(reply),
             Ask::Order { order, reply } => self.order(order, reply),
         }
     }
--- a/src/bin/foldtrack/node/picture.rs
+++ b/src/bin/foldtrack/node/picture.rs
@@ -1,5 +1,5 @@
-//! What people are shown. Bounded work: each picture looks once at every message that is held, and the fronts ask
-//! for a few pictures a second at most, however many readers they have.
+//! What people are shown. Bounded work: a picture looks once at every message that is held, some of them in each
+//! round, and the fronts ask for a few pictures a second at most, however many readers they have.
 
 use super::Node;
 use crate::door::{Picture, Stage};
@@ -11,8 +11,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// Messages that a round looks at for a picture.
+const SCAN_STEP: usize = 1000;
+
 /// Messages that are held for something, and since when the oldest.
 #[derive(Clone, Copy, Default)]
 struct Heap {
@@ -35,6 +39,25 @@
     }
 }
 
+/// A picture that is being made.
+#[derive(Default)]
+pub(super) struct Scan {
+    /// Those who wait for it.
+    waiting: Vec<oneshot::Sender<Arc<Picture>>>,
+    /// Messages up to this number have been looked at.
+    up_to: u64,
+    whole: Heap,
+    partners: HashMap<u32, Heap>,
+    /// By partner and key, each with the number of one of its messages, which knows the key's name.
+    keys: HashMap<(u32, u64), (Heap, u64)>,
+}
+
+impl Scan {
+    pub fn is_running(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
+
 fn health(lane: &LaneView) -> &'static str {
     match lane.health {
         Health::Open => "up",
@@ -53,21 +76,46 @@
 }
 
 impl Node {
-    pub(super) fn picture(&mut self, queues: bool) -> Arc<Picture> {
+    /// Makes a picture for whoever asks, within the next rounds.
+    pub(super) fn picture(&mut self, reply: oneshot::Sender<Arc<Picture>>) {
+        self.scan.waiting.push(reply);
+    }
+
+    /// Goes on with a picture that is being made. A message that comes or goes meanwhile may be counted or not.
+    pub(super) fn step_scan(&mut self) {
+        if !self.scan.is_running() {
+            return;
+        }
+        let scan = &mut self.scan;
+        let mut left = SCAN_STEP;
+        for (number, held) in self.messages.range(scan.up_to + 1..).take(SCAN_STEP) {
+            let message = &held.message;
+            scan.whole.add(held.since);
+            scan.partners.entry(message.destination).or_default().add(held.since);
+            let key = scan.keys.entry((message.destination, message.order_key()));
+            key.or_insert((Heap::default(), *number)).0.add(held.since);
+            scan.up_to = *number;
+            left -= 1;
+        }
+        if left == 0 {
+            return;
+        }
+        let scan = std::mem::take(&mut self.scan);
+        let picture = self.finish(&scan);
+        // Whoever asked may have gone.
+        scan.waiting.into_iter().for_each(|reply| drop(reply.send(picture.clone())));
+    }
+
+    fn finish(&mut self, scan: &Scan) -> Arc<Picture> {
         let now = self.clock.now();
         let unix = self.clock.unix(now);
         let views = self.brain.view(now);
-        let mut heaps: HashMap<u32, Heap> = HashMap::new();
-        let mut whole = Heap::default();
-        for held in self.messages.values() {
-            whole.add(held.since);
-            heaps.entry(held.message.destination).or_default().add(held.since);
-        }
-        let queues = queues.then(|| self.queues(unix));
+        let (whole, heaps) = (scan.whole, &scan.partners);
+        let queues = self.queues(scan, unix);
         let longest = self.site.as_mut().map_or(Duration::ZERO, |s| std::mem::take(&mut s.longest_round));
         let status = self.status(unix, whole, longest);
         let (partners, endpoints) = match self.membership.state() {
-            Some(state) => (self.partners(state, &views, &heaps, unix), self.endpoints(state, &views)),
+            Some(state) => (self.partners(state, &views, heaps, unix), self.endpoints(state, &views)),
             None => Default::default(),
         };
         let failures =
@@ -98,7 +146,7 @@
             in_doubt: counts.in_doubt,
             handed_back: counts.handed_back,
             failures: counts.failures,
-            held: whole.held,
+            held: self.messages.len() as u32,
             held_most: self.settings.settings.max_held,
             held_bytes: site.held_bytes,
             held_bytes_most: site.held_most,
@@ -213,27 +261,25 @@
     }
 
     /// What is held by partner and key, the longest first.
-    fn queues(&self, unix: Micros) -> Vec<Queue> {
+    fn queues(&self, scan: &Scan, unix: Micros) -> Vec<Queue> {
         let Some(site) = &self.site else { return Vec::new() };
-        let mut heaps: HashMap<(u32, &str), Heap> = HashMap::new();
-        for held in self.messages.values() {
-            heaps.entry((held.message.destination, &held.message.key)).or_default().add(held.since);
-        }
-        let mut all: Vec<((u32, &str), Heap)> = heaps.into_iter().collect();
-        let order = |(name, heap): &((u32, &str), Heap)| (std::cmp::Reverse(heap.held), heap.oldest, name.0);
+        let mut all: Vec<(u32, Heap, u64)> = scan.keys.iter().map(|((p, _), (h, n))| (*p, *h, *n)).collect();
+        let order = |(partner, heap, number): &(u32, Heap, u64)| {
+            (std::cmp::Reverse(heap.held), heap.oldest, *partner, *number)
+        };
         let most = MOST_LINES as usize;
         if all.len() > most {
             all.select_nth_unstable_by_key(most - 1, order);
             all.truncate(most);
         }
-        all.sort_by(|a, b| order(a).cmp(&order(b)).then(a.0 .1.cmp(b.0 .1)));
-        let queue = |((partner, key), heap): ((u32, &str), Heap)| Queue {
-            partner: site.partner_name(partner).into_owned(),
-            key: key.to_string(),
-            held: heap.held,
-            oldest_ms: heap.age_ms(unix),
+        all.sort_by_key(order);
+        let queue = |(partner, heap, number): (u32, Heap, u64)| {
+            // One whose message has gone since is hardly a queue any more.
+            let key = self.messages.get(&number).map(|h| h.message.key.clone())?;
+            let (partner, oldest_ms) = (site.partner_name(partner).into_owned(), heap.age_ms(unix));
+            Some(Queue { partner, key, held: heap.held, oldest_ms })
         };
-        all.into_iter().map(queue).collect()
+        all.into_iter().filter_map(queue).collect()
     }
 
     /// What is known of a message: it is held, or its end is kept.
