--- /dev/null
+++ b/crates/journal/src/disk.rs
@@ -0,0 +1,211 @@
+//! All that the journal asks of a disk, and the real one.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+/// The file of an earlier build's journal, and what the names of segments begin with.
+const NAME: &str = "journal";
+
+/// The folder of a journal: numbered segments, and perhaps the one file of an earlier build. Every operation may fail;
+/// what a failed one has done is not known, except that what was whole before stays readable.
+pub trait Disk {
+    /// Numbers of the segments that there are, in their order.
+    ///
+    /// # Errors
+    /// The folder can't be read.
+    fn segments(&mut self) -> io::Result<Vec<u64>>;
+
+    /// Makes an empty segment, for which `room` bytes are set aside where the file system can.
+    ///
+    /// # Errors
+    /// There is no room or descriptor, or it is there already.
+    fn create(&mut self, segment: u64, room: u64) -> io::Result<()>;
+
+    /// Appends bytes. Like `write`, it may write a part of them and give how many.
+    ///
+    /// # Errors
+    /// Nothing, or a part that is not known, has been written.
+    fn append(&mut self, segment: u64, bytes: &[u8]) -> io::Result<usize>;
+
+    /// Reads as many bytes as the buffer has from a place on.
+    ///
+    /// # Errors
+    /// They are not all there, or can't be read.
+    fn read(&mut self, segment: u64, at: u64, buffer: &mut [u8]) -> io::Result<()>;
+
+    /// Length of a segment in bytes.
+    ///
+    /// # Errors
+    /// It is not there, or can't be asked.
+    fn length(&mut self, segment: u64) -> io::Result<u64>;
+
+    /// Cuts a segment to a length.
+    ///
+    /// # Errors
+    /// It may or may not have been cut.
+    fn truncate(&mut self, segment: u64, length: u64) -> io::Result<()>;
+
+    /// Brings a segment, and the folder's entry of it, to stable storage.
+    ///
+    /// # Errors
+    /// What of it is on stable storage is not known, and a later success says nothing of it.
+    fn sync(&mut self, segment: u64) -> io::Result<()>;
+
+    /// Removes a segment.
+    ///
+    /// # Errors
+    /// It may or may not be gone.
+    fn remove(&mut self, segment: u64) -> io::Result<()>;
+
+    /// The file of an earlier build, if there is one.
+    ///
+    /// # Errors
+    /// It can't be read.
+    fn old(&mut self) -> io::Result<Option<Vec<u8>>>;
+
+    /// Removes it.
+    ///
+    /// # Errors
+    /// It may or may not be gone.
+    fn remove_old(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the file system.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    files: BTreeMap<u64, File>,
+    reads_only: bool,
+}
+
+fn named(path: &Path, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+}
+
+impl Folder {
+    /// A folder that is there.
+    pub fn new(path: &Path) -> Folder {
+        Folder { path: path.to_path_buf(), files: BTreeMap::new(), reads_only: false }
+    }
+
+    /// The same, in which nothing is changed: for tools beside the owner.
+    pub fn read_only(path: &Path) -> Folder {
+        Folder { reads_only: true, ..Folder::new(path) }
+    }
+
+    /// The file of a segment.
+    pub fn file_name(segment: u64) -> String {
+        format!("{NAME}.{segment:08}")
+    }
+
+    fn at(&self, segment: u64) -> PathBuf {
+        self.path.join(Folder::file_name(segment))
+    }
+
+    fn file(&mut self, segment: u64) -> io::Result<&mut File> {
+        if !self.files.contains_key(&segment) {
+            let path = self.at(segment);
+            let opened = OpenOptions::new().read(true).append(!self.reads_only).open(&path);
+            self.files.insert(segment, opened.map_err(|e| named(&path, &e))?);
+        }
+        self.files.get_mut(&segment).ok_or_else(|| io::Error::other("no such segment"))
+    }
+
+    /// A second handle of a segment's file, to be synced by whoever can wait.
+    ///
+    /// # Errors
+    /// There is no descriptor left.
+    pub fn handle(&mut self, segment: u64) -> io::Result<File> {
+        self.file(segment)?.try_clone()
+    }
+}
+
+impl Disk for Folder {
+    fn segments(&mut self) -> io::Result<Vec<u64>> {
+        let mut numbers = Vec::new();
+        for entry in fs::read_dir(&self.path).map_err(|e| named(&self.path, &e))? {
+            let name = entry.map_err(|e| named(&self.path, &e))?.file_name();
+            let number =
+                name.to_str().and_then(|n| n.strip_prefix(NAME)?.strip_prefix('.')?.parse::<u64>().ok());
+            numbers.extend(number);
+        }
+        numbers.sort_unstable();
+        Ok(numbers)
+    }
+
+    fn create(&mut self, segment: u64, room: u64) -> io::Result<()> {
+        let path = self.at(segment);
+        let made = OpenOptions::new().read(true).append(true).create_new(true).open(&path);
+        let file = made.map_err(|e| named(&path, &e))?;
+        if room > 0 {
+            // What is taken on must be endable on a full disk. The length stays: the room is the file's all the same.
+            let set_aside = rustix::fs::fallocate(&file, rustix::fs::FallocateFlags::KEEP_SIZE, 0, room)
+                .map_err(io::Error::from);
+            match set_aside {
+                Err(e)
+                    if e.kind() == io::ErrorKind::StorageFull || e.kind() == io::ErrorKind::QuotaExceeded =>
+                {
+                    let _ = fs::remove_file(&path);
+                    return Err(named(&path, &e));
+                }
+                // A file system that can't promise room: writes fail then, and that is dealt with.
+                _ => {}
+            }
+        }
+        self.files.insert(segment, file);
+        Ok(())
+    }
+
+    fn append(&mut self, segment: u64, bytes: &[u8]) -> io::Result<usize> {
+        let path = self.at(segment);
+        self.file(segment)?.write(bytes).map_err(|e| named(&path, &e))
+    }
+
+    fn read(&mut self, segment: u64, at: u64, buffer: &mut [u8]) -> io::Result<()> {
+        let path = self.at(segment);
+        self.file(segment)?.read_exact_at(buffer, at).map_err(|e| named(&path, &e))
+    }
+
+    fn length(&mut self, segment: u64) -> io::Result<u64> {
+        let path = self.at(segment);
+        self.file(segment)?.metadata().map(|m| m.len()).map_err(|e| named(&path, &e))
+    }
+
+    fn truncate(&mut self, segment: u64, length: u64) -> io::Result<()> {
+        let path = self.at(segment);
+        self.file(segment)?.set_len(length).map_err(|e| named(&path, &e))
+    }
+
+    fn sync(&mut self, segment: u64) -> io::Result<()> {
+        let path = self.at(segment);
+        self.file(segment)?.sync_data().map_err(|e| named(&path, &e))?;
+        File::open(&self.path).and_then(|f| f.sync_all()).map_err(|e| named(&self.path, &e))
+    }
+
+    fn remove(&mut self, segment: u64) -> io::Result<()> {
+        let path = self.at(segment);
+        fs::remove_file(&path).map_err(|e| named(&path, &e))?;
+        self.files.remove(&segment);
+        Ok(())
+    }
+
+    fn old(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let path = self.path.join(NAME);
+        match fs::read(&path) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(named(&path, &e)),
+        }
+    }
+
+    fn remove_old(&mut self) -> io::Result<()> {
+        let path = self.path.join(NAME);
+        fs::remove_file(&path).map_err(|e| named(&path, &e))?;
+        // A compaction of it that its process did not live to finish.
+        let _ = fs::remove_file(path.with_extension("new"));
+        File::open(&self.path).and_then(|f| f.sync_all()).map_err(|e| named(&self.path, &e))
+    }
+}
--- a/crates/journal/src/frame.rs
+++ b/crates/journal/src/frame.rs
@@ -17,6 +17,14 @@
 /// # Errors
 /// The record can't be encoded, or its content is longer than [`LONGEST`].
 pub fn encode<T: Serialize>(record: &T) -> io::Result<Vec<u8>> {
+    encode_with(0, record)
+}
+
+/// The same under a seed of the check sum: bytes of somebody else that look like a frame are none without it.
+///
+/// # Errors
+/// As of [`encode`].
+pub fn encode_with<T: Serialize>(seed: u32, record: &T) -> io::Result<Vec<u8>> {
     let mut frame = Vec::with_capacity(USUAL);
     frame.extend_from_slice(&[0; HEAD]);
     let mut frame = postcard::to_extend(record, frame).map_err(io::Error::other)?;
@@ -24,7 +32,7 @@
     if content.len() > LONGEST {
         return Err(io::Error::other("the record is too long"));
     }
-    let (length, sum) = (content.len() as u32, crc32fast::hash(content));
+    let (length, sum) = (content.len() as u32, sum(seed, content));
     frame[..2].copy_from_slice(&MARK);
     frame[2..6].copy_from_slice(&length.to_le_bytes());
     frame[6..HEAD].copy_from_slice(&sum.to_le_bytes());
@@ -33,13 +41,23 @@
 
 /// The frame at the start of these bytes with its record, if there is a whole and sound one.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<(&[u8], T)> {
+    decode_with(0, bytes)
+}
+
+fn sum(seed: u32, content: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new_with_initial(seed);
+    hasher.update(content);
+    hasher.finalize()
+}
+
+/// The same under a seed of the check sum.
+pub fn decode_with<T: DeserializeOwned>(seed: u32, bytes: &[u8]) -> Option<(&[u8], T)> {
     let head = bytes.get(..HEAD).filter(|h| h.starts_with(&MARK))?;
     let length = u32::from_le_bytes(head[2..6].try_into().ok()?) as usize;
     let crc = u32::from_le_bytes(head[6..10].try_into().ok()?);
     let frame = bytes.get(..HEAD + length).filter(|_| length <= LONGEST)?;
     let content = &frame[HEAD..];
     // The sum first: damaged lengths inside must not be taken at their word.
-    let record =
-        Some(content).filter(|c| crc32fast::hash(c) == crc).and_then(|c| postcard::from_bytes(c).ok())?;
+    let record = Some(content).filter(|c| sum(seed, c) == crc).and_then(|c| postcard::from_bytes(c).ok())?;
     Some((frame, record))
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -1,9 +1,21 @@
-//! Records that outlast the process: framed with mark, length and CRC, appended with one `write` each, and read back
-//! by the next process up to the first that is torn. No sockets, no runtime, nothing of HTTP.
+//! Records that outlast the process: framed with mark, length and CRC, appended to segments, and read back by the next
+//! process up to the first that is torn. No sockets, no runtime, nothing of HTTP.
 //!
-//! [`messages`] is the journal of messages that were taken on; [`frame`] the form of a record, which other logs of
-//! the state folder share.
+//! [`format`](mod@format) is what stands in a segment, [`frame`] the form of a record, which other logs of the state
+//! folder share; [`disk`] all that is asked of a disk; [`recovery`] reads a journal back; [`pacing`] decides how much
+//! garbage is allowed and what fits; [`journal`] appends, and compacts in steps. `docs/journal-format.md` is for other
+//! readers, `docs/design/journal.md` has the options weighed.
 #![warn(missing_docs)]
 
+pub mod disk;
+pub mod format;
 pub mod frame;
-pub mod messages;
+pub mod journal;
+#[cfg(test)]
+mod model;
+pub mod pacing;
+pub mod recovery;
+
+pub use disk::Folder;
+pub use format::{Accepted, Fate, Notice, Record, Restored, Tried};
+pub use journal::{Health, Journal, Options};
--- /dev/null
+++ b/crates/journal/src/model.rs
@@ -0,0 +1,223 @@
+//! A disk in memory that fails, crashes and forgets as it is told, deterministically.
+
+use crate::disk::Disk;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+/// What befalls the operation of a number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The process is killed: a write has written a part, anything else may have happened (`true`) or not.
+    Kill(bool),
+    /// It fails; a write has written a part.
+    Fail,
+    /// Nothing that takes room succeeds from here on, until [`Model::give_room`].
+    Full,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Inner {
+    segments: BTreeMap<u64, Vec<u8>>,
+    old: Option<Vec<u8>>,
+    operations: u64,
+    fault: Option<(u64, Fault)>,
+    full: bool,
+    dead: bool,
+    /// The most bytes that the files have ever taken, in whole blocks.
+    most: u64,
+}
+
+/// The disk; its clones are the same one.
+#[derive(Clone, Debug, Default)]
+pub struct Model(Rc<RefCell<Inner>>);
+
+enum Turn {
+    Do,
+    /// Do it, and die of it.
+    Last,
+    Fail(io::Error),
+    /// A write writes a part of it.
+    Part(io::Error),
+}
+
+fn killed() -> io::Error {
+    io::Error::other("killed")
+}
+
+impl Model {
+    pub fn with_old(bytes: Vec<u8>) -> Model {
+        let model = Model::default();
+        model.0.borrow_mut().old = Some(bytes);
+        model
+    }
+
+    /// The fault to come, at the operation of a number from here on.
+    pub fn plan(&self, after: u64, fault: Fault) {
+        let mut inner = self.0.borrow_mut();
+        inner.fault = Some((inner.operations + after, fault));
+    }
+
+    /// A new process finds what the last one has left.
+    pub fn again(&self) -> Model {
+        let inner = self.0.borrow();
+        let fresh = Inner { fault: None, full: false, dead: false, operations: 0, ..inner.clone() };
+        Model(Rc::new(RefCell::new(fresh)))
+    }
+
+    pub fn give_room(&self) {
+        self.0.borrow_mut().full = false;
+    }
+
+    pub fn operations(&self) -> u64 {
+        self.0.borrow().operations
+    }
+
+    pub fn is_dead(&self) -> bool {
+        self.0.borrow().dead
+    }
+
+    pub fn most(&self) -> u64 {
+        self.0.borrow().most
+    }
+
+    pub fn has_old(&self) -> bool {
+        self.0.borrow().old.is_some()
+    }
+
+    /// Changes the bytes of a segment behind the journal's back.
+    pub fn change(&self, segment: u64, change: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(bytes) = self.0.borrow_mut().segments.get_mut(&segment) {
+            change(bytes);
+        }
+    }
+
+    pub fn numbers(&self) -> Vec<u64> {
+        self.0.borrow().segments.keys().copied().collect()
+    }
+
+    pub fn bytes(&self, segment: u64) -> Vec<u8> {
+        self.0.borrow().segments[&segment].clone()
+    }
+
+    fn turn(&self, takes_room: bool) -> Turn {
+        let mut inner = self.0.borrow_mut();
+        if inner.dead {
+            return Turn::Fail(killed());
+        }
+        inner.operations += 1;
+        let fault = inner.fault.filter(|(at, _)| *at == inner.operations).map(|(_, fault)| fault);
+        match fault {
+            Some(Fault::Kill(done)) => {
+                inner.dead = true;
+                if done {
+                    Turn::Last
+                } else {
+                    Turn::Part(killed())
+                }
+            }
+            Some(Fault::Fail) => Turn::Part(io::Error::other("an error of the disk")),
+            Some(Fault::Full) => {
+                inner.full = true;
+                if takes_room {
+                    Turn::Part(io::ErrorKind::StorageFull.into())
+                } else {
+                    Turn::Do
+                }
+            }
+            None if inner.full && takes_room => Turn::Fail(io::ErrorKind::StorageFull.into()),
+            None => Turn::Do,
+        }
+    }
+
+    fn act(&self, takes_room: bool, act: impl FnOnce(&mut Inner) -> io::Result<()>) -> io::Result<()> {
+        match self.turn(takes_room) {
+            Turn::Do => act(&mut self.0.borrow_mut()),
+            Turn::Last => act(&mut self.0.borrow_mut()).and(Err(killed())),
+            Turn::Fail(e) | Turn::Part(e) => Err(e),
+        }
+    }
+
+    fn measure(&self) {
+        let mut inner = self.0.borrow_mut();
+        let taken = inner.segments.values().map(|s| (s.len() as u64).next_multiple_of(512)).sum::<u64>();
+        let old = inner.old.as_ref().map_or(0, |o| (o.len() as u64).next_multiple_of(512));
+        inner.most = inner.most.max(taken + old);
+    }
+}
+
+fn missing() -> io::Error {
+    io::ErrorKind::NotFound.into()
+}
+
+impl Disk for Model {
+    fn segments(&mut self) -> io::Result<Vec<u64>> {
+        Ok(self.numbers())
+    }
+
+    fn create(&mut self, segment: u64, _: u64) -> io::Result<()> {
+        self.act(true, |inner| match inner.segments.insert(segment, Vec::new()) {
+            None => Ok(()),
+            Some(_) => Err(io::ErrorKind::AlreadyExists.into()),
+        })
+    }
+
+    fn append(&mut self, segment: u64, bytes: &[u8]) -> io::Result<usize> {
+        // Short writes are usual here.
+        let count = if bytes.len() > 100 { bytes.len() - bytes.len() / 3 } else { bytes.len() };
+        let write = |model: &Model, count: usize| {
+            let mut inner = model.0.borrow_mut();
+            inner.segments.get_mut(&segment).ok_or_else(missing)?.extend_from_slice(&bytes[..count]);
+            Ok(count)
+        };
+        let written = match self.turn(true) {
+            Turn::Do => write(self, count),
+            Turn::Last => write(self, count).and(Err(killed())),
+            Turn::Part(e) => write(self, count / 2).and(Err(e)),
+            Turn::Fail(e) => Err(e),
+        };
+        self.measure();
+        written
+    }
+
+    fn read(&mut self, segment: u64, at: u64, buffer: &mut [u8]) -> io::Result<()> {
+        self.act(false, |inner| {
+            let bytes = inner.segments.get(&segment).ok_or_else(missing)?;
+            let found =
+                bytes.get(at as usize..at as usize + buffer.len()).ok_or(io::ErrorKind::UnexpectedEof)?;
+            buffer.copy_from_slice(found);
+            Ok(())
+        })
+    }
+
+    fn length(&mut self, segment: u64) -> io::Result<u64> {
+        self.0.borrow().segments.get(&segment).map(|s| s.len() as u64).ok_or_else(missing)
+    }
+
+    fn truncate(&mut self, segment: u64, length: u64) -> io::Result<()> {
+        self.act(false, |inner| {
+            inner.segments.get_mut(&segment).ok_or_else(missing)?.truncate(length as usize);
+            Ok(())
+        })
+    }
+
+    fn sync(&mut self, _: u64) -> io::Result<()> {
+        self.act(false, |_| Ok(()))
+    }
+
+    fn remove(&mut self, segment: u64) -> io::Result<()> {
+        self.act(false, |inner| inner.segments.remove(&segment).map(drop).ok_or_else(missing))
+    }
+
+    fn old(&mut self) -> io::Result<Option<Vec<u8>>> {
+        Ok(self.0.borrow().old.clone())
+    }
+
+    fn remove_old(&mut self) -> io::Result<()> {
+        self.act(false, |inner| {
+            inner.old = None;
+            Ok(())
+        })
+    }
+}
--- a/src/bin/foldtrack/node/appliance.rs
+++ b/src/bin/foldtrack/node/appliance.rs
@@ -5,7 +5,7 @@
 use crate::door::Answer;
 use foldtrack_control::Failure;
 use foldtrack_ends::{self as ends, End, Store};
-use foldtrack_journal::messages::Notice;
+use foldtrack_journal::Notice;
 use hatchline::Outcome;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, VecDeque};
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -6,7 +6,7 @@
 use crate::targets::{self, Call};
 use foldtrack_control::Failure;
 use foldtrack_ends::{self as ends, Attempt};
-use foldtrack_journal::messages::{Fate, Notice, Record};
+use foldtrack_journal::{Fate, Notice, Record};
 use hatchline::{Action, Event, Micros, Outcome, TargetId};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -83,20 +83,22 @@
     /// Starts a call; its record stands in the journal before its first byte goes out.
     pub(super) fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
-        let message = held.message.clone();
+        let (message, tries) = (held.message.clone(), held.tries);
         let Some((address, zone)) = self.targets.begin_call(target) else {
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         };
         let at = self.clock.unix(self.clock.now());
-        let begun = match self.site {
-            Some(_) => Record::BegunAt { at, zone, endpoint: self.targets.name(target).to_string() },
-            None => Record::Begun { at, zone },
-        };
+        let endpoint =
+            if self.site.is_some() { self.targets.name(target).to_string() } else { String::new() };
+        let begun = Record::Try { attempt: tries, at, zone, endpoint };
         if let Err(error) = self.journal.append(number, &begun) {
             eprintln!("journal: a call is not made: {error}");
             self.targets.end_call(target);
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         }
+        if let Some(held) = self.messages.get_mut(&number) {
+            held.tries += 1;
+        }
         self.attempt_begun(number, at, target);
         let (cancel, cancelled) = oneshot::channel();
         self.calls.insert((number, attempt), cancel);
@@ -127,15 +129,18 @@
         if let Some(connection) = end.connection.filter(|_| listed) {
             self.idle.put(end.target, connection);
         }
-        let held = self.messages.contains_key(&end.number);
+        let tries = self.messages.get(&end.number).map(|h| h.tries);
+        let held = tries.is_some();
         if end.over && end.outcome != Outcome::Ok && self.site.is_some() {
             // Withdrawn where it was to go: it has had no effect.
             self.end(end.number, Notice::GivenUp);
         } else if end.over {
             self.delivered(end.number);
         } else if held {
+            // There is never more than one out.
+            let attempt = tries.unwrap_or(0).saturating_sub(1);
             let fate = if kept(end.outcome).never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-            self.record(end.number, &Record::Ended(fate));
+            self.record(end.number, &Record::TryEnded { attempt, fate });
         }
         let now = self.clock.now();
         self.handle(Event::Outcome {
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -6,7 +6,7 @@
 use crate::platform;
 use crate::table::Known;
 use foldtrack_ends::{EndRef, Result as EndResult};
-use foldtrack_journal::messages::{Notice, Record};
+use foldtrack_journal::{Notice, Record};
 use hyper::StatusCode;
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -5,7 +5,7 @@
 use crate::message::Message;
 use crate::table::Known;
 use foldtrack_ends::Result as EndResult;
-use foldtrack_journal::messages::{Accepted, Record};
+use foldtrack_journal::{Accepted, Record};
 use hatchline::{Event, Outcome};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -50,7 +50,8 @@
         }
         let (since, history) = (self.clock.unix(self.clock.now()), Vec::new());
         let taken = Taken::Fresh(reply);
-        self.messages.insert(id, Held { message, taken, since, history, attempts: 0, waiting: None });
+        self.messages
+            .insert(id, Held { message, taken, since, history, attempts: 0, tries: 0, waiting: None });
         self.fresh.push(id);
         self.handle(event);
     }
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -25,7 +25,7 @@
 
 use appliance::{Appliance, LONGEST_NAME};
 use foldtrack_ends::Attempt;
-use foldtrack_journal::messages::Journal;
+use foldtrack_journal::{Journal, Options};
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, TargetId};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -45,6 +45,8 @@
 const END_BY: Duration = Duration::from_millis(3300);
 /// How long the start waits for the list.
 const FIRST_LIST: Duration = Duration::from_millis(250);
+/// Time of a round that the journal's compaction takes at most, beside what a full room calls for at once.
+const JOURNAL_STEP: Duration = Duration::from_micros(300);
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors for all but clients and targets: the runtime's, the journal's, those to the platform, and those
 /// that are closing.
@@ -80,6 +82,8 @@
     /// Its attempts for people to see, at a site of its own.
     history: Vec<Attempt>,
     attempts: u32,
+    /// Those of them that the journal has: some were decided on and never begun.
+    tries: u32,
     /// A send that the module has decided on, but that must not go yet: see [`Node::send`].
     waiting: Option<Waiting>,
 }
@@ -130,10 +134,10 @@
     let max_attempts = settings.settings.max_attempts;
     let site = config.site.map(|parts| Appliance::new(parts, ends_seen, config.memory_bytes as u64));
     let name = if site.is_some() { LONGEST_NAME } else { 0 };
-    let (journal, restored) = Journal::open(&config.state, config.disk_bytes, max_attempts, name)?;
+    let options = Options { room: config.disk_bytes, attempts: max_attempts, name, identity: config.seed };
+    let (journal, restored) = Journal::open(&config.state, options)?;
     // Numbers of messages that are over may stand in kept ends: none is used twice.
-    let highest = restored.last_key_value().map_or(0, |(number, _)| *number);
-    let highest = highest.max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
+    let highest = journal.highest().max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
     // Half for clients, half for calls and for what stands idle between them.
     let share = config.sockets.saturating_sub(OTHER_SOCKETS) / 2;
@@ -221,6 +225,7 @@
         }
         self.answer_clients();
         self.commit_ends();
+        self.step_journal();
         self.step_scan();
         self.report_notices();
         self.step_down();
@@ -236,6 +241,13 @@
         }
     }
 
+    /// Goes on with the journal's compaction, for a little of each round.
+    fn step_journal(&mut self) {
+        if let Err(error) = self.journal.step(std::time::Instant::now() + JOURNAL_STEP) {
+            eprintln!("journal: {error}");
+        }
+    }
+
     /// How long what has gone is remembered: no message that knew it is held for longer.
     fn remember(&self) -> Micros {
         2 * self.settings.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
@@ -314,7 +326,7 @@
     }
 
     fn wake_at(&self) -> Instant {
-        if self.scan.is_running() {
+        if self.scan.is_running() || self.journal.is_owing() {
             return Instant::now();
         }
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -5,7 +5,7 @@
 use crate::notices::Ending;
 use crate::table::Known;
 use foldtrack_ends::Attempt;
-use foldtrack_journal::messages::{Fate, Notice, Record, Restored, Tried};
+use foldtrack_journal::{Fate, Notice, Record, Restored, Tried};
 use hatchline::{Event, Outcome};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -34,6 +34,9 @@
             return;
         }
         let class = self.settings.class_names.iter().position(|n| *n == accepted.class);
+        // A clock that was set back must not make it wait for longer than its class allows.
+        let deadline = class.map_or(0, |c| self.settings.settings.classes[c].deadline);
+        let latest = self.clock.now() + deadline;
         let message = Message {
             id: accepted.id,
             class: class.unwrap_or(usize::MAX),
@@ -41,7 +44,7 @@
             key: accepted.key,
             idempotency_key: accepted.idempotency_key,
             retry: accepted.retry,
-            expires: self.clock.since_unix(accepted.expires),
+            expires: self.clock.since_unix(accepted.expires).min(latest),
             body: accepted.body.into(),
         };
         let (order_key, destination, expires) = (message.order_key(), message.destination, message.expires);
@@ -51,6 +54,7 @@
             since,
             history: if self.site.is_some() { attempts.iter().map(lost).collect() } else { Vec::new() },
             attempts: attempts.len() as u32,
+            tries: attempts.len() as u32,
             waiting: None,
         };
         if let Some(site) = &mut self.site {
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -178,7 +178,7 @@
     }
 
     pub fn journal(&self) -> PathBuf {
-        self.folder.path().join("state/journal")
+        self.folder.path().join("state/journal.00000001")
     }
 
     /// Bytes in the folder that lasts, as the deploy page counts them.
