--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -6,8 +6,10 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-/// The file of an earlier build's journal, and what the names of segments begin with.
+/// The folder of the segments; version 1 had a file of this name.
 const NAME: &str = "journal";
+/// Where the file of version 1 is until all of it has been carried over.
+const OLD: &str = "journal.v1";
 
 /// The folder of a journal: numbered segments, and perhaps the one file of an earlier build. Every operation may fail;
 /// what a failed one has done is not known, except that what was whole before stays readable.
@@ -73,9 +75,10 @@
     fn remove_old(&mut self) -> io::Result<()>;
 }
 
-/// A folder of the file system.
+/// A state folder of the file system, with the journal's folder in it.
 #[derive(Debug)]
 pub struct Folder {
+    state: PathBuf,
     path: PathBuf,
     files: BTreeMap<u64, File>,
     reads_only: bool,
@@ -86,19 +89,31 @@
 }
 
 impl Folder {
-    /// A folder that is there.
-    pub fn new(path: &Path) -> Folder {
-        Folder { path: path.to_path_buf(), files: BTreeMap::new(), reads_only: false }
+    /// The journal of a state folder that is there. A file of version 1 makes room for the folder, by one rename.
+    ///
+    /// # Errors
+    /// The folder can't be made.
+    pub fn new(state: &Path) -> io::Result<Folder> {
+        let folder = Folder::at_state(state, false);
+        if folder.path.is_file() {
+            fs::rename(&folder.path, state.join(OLD)).map_err(|e| named(&folder.path, &e))?;
+        }
+        fs::create_dir_all(&folder.path).map_err(|e| named(&folder.path, &e))?;
+        Ok(folder)
+    }
+
+    fn at_state(state: &Path, reads_only: bool) -> Folder {
+        Folder { state: state.to_path_buf(), path: state.join(NAME), files: BTreeMap::new(), reads_only }
     }
 
     /// The same, in which nothing is changed: for tools beside the owner.
-    pub fn read_only(path: &Path) -> Folder {
-        Folder { reads_only: true, ..Folder::new(path) }
+    pub fn read_only(state: &Path) -> Folder {
+        Folder::at_state(state, true)
     }
 
     /// The file of a segment.
     pub fn file_name(segment: u64) -> String {
-        format!("{NAME}.{segment:08}")
+        format!("{segment:08}")
     }
 
     fn at(&self, segment: u64) -> PathBuf {
@@ -126,10 +141,12 @@
 impl Disk for Folder {
     fn segments(&mut self) -> io::Result<Vec<u64>> {
         let mut numbers = Vec::new();
+        if !self.path.is_dir() {
+            return Ok(numbers);
+        }
         for entry in fs::read_dir(&self.path).map_err(|e| named(&self.path, &e))? {
             let name = entry.map_err(|e| named(&self.path, &e))?.file_name();
-            let number =
-                name.to_str().and_then(|n| n.strip_prefix(NAME)?.strip_prefix('.')?.parse::<u64>().ok());
+            let number = name.to_str().and_then(|n| n.parse::<u64>().ok());
             numbers.extend(number);
         }
         numbers.sort_unstable();
@@ -193,7 +210,7 @@
     }
 
     fn old(&mut self) -> io::Result<Option<Vec<u8>>> {
-        let path = self.path.join(NAME);
+        let path = if self.path.is_file() { self.path.clone() } else { self.state.join(OLD) };
         match fs::read(&path) {
             Ok(bytes) => Ok(Some(bytes)),
             Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
@@ -202,10 +219,10 @@
     }
 
     fn remove_old(&mut self) -> io::Result<()> {
-        let path = self.path.join(NAME);
+        let path = self.state.join(OLD);
         fs::remove_file(&path).map_err(|e| named(&path, &e))?;
         // A compaction of it that its process did not live to finish.
-        let _ = fs::remove_file(path.with_extension("new"));
-        File::open(&self.path).and_then(|f| f.sync_all()).map_err(|e| named(&self.path, &e))
+        let _ = fs::remove_file(self.state.join("journal.new"));
+        File::open(&self.state).and_then(|f| f.sync_all()).map_err(|e| named(&self.state, &e))
     }
 }
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -108,7 +108,7 @@
     /// # Errors
     /// As of [`Journal::open_on`].
     pub fn open(folder: &Path, options: Options) -> io::Result<(Self, BTreeMap<u64, Restored>)> {
-        Journal::open_on(Folder::new(folder), options)
+        Journal::open_on(Folder::new(folder)?, options)
     }
 
     /// The disk, for a handle of a segment to sync.
@@ -133,7 +133,7 @@
         let read = recovery::read(&mut disk)?;
         for damage in &read.damage {
             let recovery::Damage { segment, at, bytes, problem, .. } = damage;
-            eprintln!("journal: {}: {bytes} bytes at {at}: {problem}", Folder::file_name(*segment));
+            eprintln!("journal/{}: {bytes} bytes at {at}: {problem}", Folder::file_name(*segment));
         }
         let mut journal = Journal {
             disk,
@@ -571,7 +571,7 @@
                 // The bytes have changed under us. The owner has the message in memory: it is lost only if the process
                 // ends before the message does. Keeping the segment for it would block the room for all others.
                 let (at, name) = (place.at, Folder::file_name(place.segment));
-                eprintln!("journal: {name}: a record at {at} can't be read back: message {number} is in memory alone");
+                eprintln!("journal/{name}: a record at {at} can't be read back: message {number} is in memory alone");
                 self.forget(number);
                 return Ok(passed);
             };
--- a/crates/journal/src/journal_tests.rs
+++ b/crates/journal/src/journal_tests.rs
@@ -341,6 +341,22 @@
     }
 }
 
+/// The same in a real folder: the file makes room for the folder of its name.
+#[test]
+fn the_file_of_version_1_makes_room_for_the_folder() {
+    let folder = tempfile::tempdir().unwrap();
+    let (bytes, held) = old_journal(60);
+    std::fs::write(folder.path().join("journal"), bytes).unwrap();
+    let (mut journal, found) = Journal::open(folder.path(), options(ROOM)).unwrap();
+    assert!(found == held);
+    journal.append(1, &Record::Over).unwrap();
+    drop(journal);
+    let (_, found) = Journal::open(folder.path(), options(ROOM)).unwrap();
+    assert_eq!((found.len(), found.contains_key(&1)), (held.len() - 1, false));
+    let names: Vec<_> = std::fs::read_dir(folder.path()).unwrap().map(|f| f.unwrap().file_name()).collect();
+    assert_eq!(names, ["journal"]);
+}
+
 #[test]
 fn a_segment_of_a_later_version_is_refused_and_left_alone() {
     let model = Model::default();
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -765,7 +765,7 @@
     eventually("the call", || target.ids() == ["m1"]);
     let state = forwarder.folder.path().join("state");
     let files: Vec<_> = fs::read_dir(state).unwrap().map(|f| f.unwrap().file_name()).collect();
-    assert_eq!(files, ["journal.00000001"]);
+    assert_eq!(files, ["journal"]);
     for path in ["/v1/ends", "/v1/messages/m1"] {
         let request = format!("GET {path} HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n");
         assert!(forwarder.exchange(request.as_bytes()).starts_with("HTTP/1.1 404"), "{path}");
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -178,13 +178,20 @@
     }
 
     pub fn journal(&self) -> PathBuf {
-        self.folder.path().join("state/journal.00000001")
+        self.folder.path().join("state/journal/00000001")
     }
 
     /// Bytes in the folder that lasts, as the deploy page counts them.
     pub fn on_disk(&self) -> u64 {
-        let files = std::fs::read_dir(self.folder.path().join("state")).unwrap();
-        files.filter_map(|f| Some(f.ok()?.metadata().ok()?.len().div_ceil(512) * 512)).sum()
+        fn count(folder: &std::path::Path) -> u64 {
+            let entries = std::fs::read_dir(folder).unwrap().filter_map(|entry| Some(entry.ok()?.path()));
+            let bytes = entries.map(|path| match path.is_dir() {
+                true => count(&path),
+                false => path.metadata().map_or(0, |m| m.len().div_ceil(512) * 512),
+            });
+            bytes.sum()
+        }
+        count(&self.folder.path().join("state"))
     }
 
     /// Replaces the configuration by one that names this platform, and says so.
