Let a site's answers wait for stable storage, with group commit, and look into journals

What a forwarder had answered outlived its process, not the power: a site on a machine of its own lost what it had promised.

durability = "machine" (a site's default; the platform stays with "process"): answers, the first byte of a call, and ends wait for a sync, which all that gathered meanwhile share, off the loop. A segment goes only when what was carried out of it is synced, and one removal at a time.

--- a/benches/site.rs
+++ b/benches/site.rs
@@ -47,7 +47,7 @@
     let (listen, folder) = (free(), tempfile::tempdir().unwrap());
     let state = folder.path().join("state");
     let mut text = format!(
-        "[site]\nlisten = \"{listen}\"\nstate = {state:?}\n[limits]\nmemory = \"2GiB\"\ndescriptors = 4096\n\
+        "[site]\nlisten = \"{listen}\"\nstate = {state:?}\ndurability = \"process\"\n[limits]\nmemory = \"2GiB\"\ndescriptors = 4096\n\
          disk = \"400MiB\"\nmessages = 100000\n{limits}\n[ends]\ncount = 1000000\nsize = \"128MiB\"\n\
          [class.fee]\neffect = \"once\"\naim = \"3s\"\ndeadline = \"600s\"\nworth = 3\n"
     );
--- a/crates/ends/src/store.rs
+++ b/crates/ends/src/store.rs
@@ -5,7 +5,7 @@
 use foldtrack_journal::frame;
 use serde::{Deserialize, Serialize};
 use std::collections::hash_map::RandomState;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::fs::{self, File, OpenOptions};
 use std::hash::BuildHasher;
 use std::io::{self, Write};
@@ -80,6 +80,10 @@
     staged: Vec<u8>,
     /// Sequence number of the next end when the last commit was done: those from it on are not told yet.
     committed: u64,
+    /// Ends up to the one before this are told: those of the last commit, or of the last sync.
+    released: u64,
+    /// Segments that no sync has confirmed.
+    dirty: BTreeSet<u64>,
     /// The last write may have left something behind `whole`.
     torn: bool,
 }
@@ -116,6 +120,8 @@
             whole: 0,
             staged: Vec::new(),
             committed: 0,
+            released: 0,
+            dirty: BTreeSet::new(),
             torn: false,
         };
         let last = names.len().saturating_sub(1);
@@ -130,6 +136,7 @@
         // What has been dropped was acknowledged, though the record of that may have been lost with the process.
         store.shelf.acknowledged = store.shelf.acknowledged.max(store.oldest() - 1);
         store.committed = store.shelf.next();
+        store.released = store.committed;
         Ok(store)
     }
 
@@ -278,9 +285,38 @@
         self.whole += self.staged.len() as u64;
         self.staged.clear();
         self.committed = self.shelf.next();
+        self.dirty.extend(self.shelf.segments.back().map(|s| s.first));
         Ok(())
     }
 
+    /// Sequence number of the last end that is in a file.
+    pub fn written(&self) -> u64 {
+        self.committed - 1
+    }
+
+    /// Ends up to this one may be told.
+    pub fn release(&mut self, up_to: u64) {
+        self.released = self.released.max(up_to + 1).min(self.committed);
+    }
+
+    /// What has to be synced for all that has been committed to be on stable storage.
+    ///
+    /// # Errors
+    /// There is no descriptor left. Nothing has changed.
+    pub fn sync_job(&mut self) -> io::Result<Vec<File>> {
+        let mut files = Vec::new();
+        for (segment, file) in self.shelf.segments.iter().zip(&self.files) {
+            if self.dirty.contains(&segment.first) {
+                files.push(file.try_clone()?);
+            }
+        }
+        if !files.is_empty() {
+            files.push(File::open(&self.folder)?);
+        }
+        self.dirty.clear();
+        Ok(files)
+    }
+
     /// Whether something is staged that a commit did not write.
     pub fn is_behind(&self) -> bool {
         !self.staged.is_empty()
@@ -292,7 +328,7 @@
     /// # Errors
     /// It lies beyond the last end, which nobody can have fetched.
     pub fn acknowledge(&mut self, cursor: u64, now: u64) -> io::Result<()> {
-        if cursor >= self.committed {
+        if cursor >= self.released {
             let last = self.last();
             return Err(io::Error::new(
                 io::ErrorKind::InvalidInput,
@@ -337,7 +373,7 @@
         let from = (cursor + 1).max(oldest);
         let mut fetched = Fetched { ends: Vec::new(), cursor: cursor.min(self.last()) };
         let mut bytes = 0;
-        for sequence in (from..self.committed).take(most) {
+        for sequence in (from..self.released).take(most) {
             let Some(end) = self.read(sequence)? else { break };
             bytes += u64::from(self.places[(sequence - oldest) as usize].length);
             fetched.ends.push((sequence, end));
@@ -385,7 +421,7 @@
 
     /// Sequence number of the last end that is told, 0 for none.
     pub fn last(&self) -> u64 {
-        self.committed - 1
+        self.released - 1
     }
 
     /// Every end up to this one has been acknowledged.
--- a/crates/ends/src/store_tests.rs
+++ b/crates/ends/src/store_tests.rs
@@ -25,6 +25,7 @@
 fn keep(store: &mut Store, end: End) -> u64 {
     let sequence = store.append(end.by_ref()).unwrap();
     store.commit().unwrap();
+    store.release(store.written());
     sequence
 }
 
@@ -142,6 +143,9 @@
     assert!(store.acknowledge(2, 0).is_err() && store.is_behind());
     assert_eq!(open(folder.path()).last(), 1);
     store.commit().unwrap();
+    assert_eq!((store.last(), store.written()), (1, 3), "written, and perhaps not synced");
+    assert!(!store.sync_job().unwrap().is_empty() && store.sync_job().unwrap().is_empty());
+    store.release(3);
     assert_eq!(ids(&store.fetch(0, 9).unwrap()), [1, 2, 3]);
     assert_eq!(open(folder.path()).last(), 3);
 }
@@ -161,6 +165,7 @@
     assert_eq!((store.last(), store.look("m1999").unwrap().unwrap().0), (1, 1999));
     *store.files.back_mut().unwrap() = good;
     store.commit().unwrap();
+    store.release(store.written());
     keep(&mut store, end(2_001));
     let again = open(folder.path());
     assert_eq!((again.last(), again.look("m1999").unwrap().unwrap().0), (2_001, 1999));
--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -56,6 +56,12 @@
     /// What of it is on stable storage is not known, and a later success says nothing of it.
     fn sync(&mut self, segment: u64) -> io::Result<()>;
 
+    /// Brings the folder's entries to stable storage: what has been removed stays so.
+    ///
+    /// # Errors
+    /// What of it is on stable storage is not known.
+    fn sync_folder(&mut self) -> io::Result<()>;
+
     /// Removes a segment.
     ///
     /// # Errors
@@ -129,6 +135,14 @@
         self.files.get_mut(&segment).ok_or_else(|| io::Error::other("no such segment"))
     }
 
+    /// A handle of the journal's folder, to be synced.
+    ///
+    /// # Errors
+    /// There is no descriptor left.
+    pub fn folder(&self) -> io::Result<File> {
+        File::open(&self.path)
+    }
+
     /// A second handle of a segment's file, to be synced by whoever can wait.
     ///
     /// # Errors
@@ -199,7 +213,11 @@
     fn sync(&mut self, segment: u64) -> io::Result<()> {
         let path = self.at(segment);
         self.file(segment)?.sync_data().map_err(|e| named(&path, &e))?;
-        File::open(&self.path).and_then(|f| f.sync_all()).map_err(|e| named(&self.path, &e))
+        self.sync_folder()
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.folder().and_then(|f| f.sync_all()).map_err(|e| named(&self.path, &e))
     }
 
     fn remove(&mut self, segment: u64) -> io::Result<()> {
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -10,7 +10,8 @@
 use crate::frame;
 use crate::pacing::{Pacing, BLOCK, LONGEST_MESSAGE};
 use crate::recovery::{self, read_old, seed, Place};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fs::File;
 use std::io;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -37,6 +38,8 @@
     pub attempts: u32,
     /// Longest name of an endpoint, where attempts are written with theirs.
     pub name: usize,
+    /// What is carried must be on stable storage before the place it was carried from is given up.
+    pub durable: bool,
     /// Sets the identity of a new journal: unlike any other's, and not known to clients.
     pub identity: u64,
 }
@@ -63,11 +66,13 @@
     live: u64,
     /// Messages with records in it; some may be over, or stand here twice.
     messages: Vec<u64>,
+    /// What had been written when something was carried out of it last: so much must be synced before it goes.
+    carried_at: u64,
 }
 
 impl Segment {
     fn new(number: u64) -> Segment {
-        Segment { number, length: 0, file: 0, live: 0, messages: Vec::new() }
+        Segment { number, length: 0, file: 0, live: 0, messages: Vec::new(), carried_at: 0 }
     }
 
     fn blocks(&self) -> u64 {
@@ -90,6 +95,13 @@
     /// Messages that are over, whose records go with the next write.
     waiting: Vec<u64>,
     health: Health,
+    /// Segments with bytes that no sync has confirmed; bytes written since the start, and how many of them are synced.
+    dirty: BTreeSet<u64>,
+    position: u64,
+    synced: u64,
+    /// Removals so far, and how many of them are synced: a segment must not come back without those behind it.
+    removals: u64,
+    removals_synced: u64,
     /// Bytes of the oldest segments that are yet to be passed over.
     owed: u64,
     /// When to try again after trouble, and how often records could not be read back since the last that could.
@@ -111,9 +123,41 @@
         Journal::open_on(Folder::new(folder)?, options)
     }
 
-    /// The disk, for a handle of a segment to sync.
-    pub fn disk(&mut self) -> &mut Folder {
-        &mut self.disk
+    /// What has to be synced for all that has been written so far to be on stable storage; to be run by whoever can
+    /// wait, and then given to [`Journal::synced`].
+    ///
+    /// # Errors
+    /// There is no descriptor left. Nothing has changed.
+    pub fn sync_job(&mut self) -> io::Result<SyncJob> {
+        let mut files = Vec::new();
+        for segment in &self.dirty {
+            // One that has been removed since owes nothing.
+            if self.segments.iter().any(|s| s.number == *segment) {
+                files.push(self.disk.handle(*segment)?);
+            }
+        }
+        files.push(self.disk.folder()?);
+        let segments = std::mem::take(&mut self.dirty);
+        Ok(SyncJob { files, segments, position: self.position, removals: self.removals })
+    }
+}
+
+/// Files to sync, and what that confirms.
+#[derive(Debug)]
+pub struct SyncJob {
+    files: Vec<File>,
+    segments: BTreeSet<u64>,
+    position: u64,
+    removals: u64,
+}
+
+impl SyncJob {
+    /// Syncs. Blocks for as long as the disk takes.
+    ///
+    /// # Errors
+    /// What is on stable storage is not known.
+    pub fn run(&self) -> io::Result<()> {
+        self.files.iter().try_for_each(File::sync_data)
     }
 }
 
@@ -145,6 +189,11 @@
             live_bytes: 0,
             waiting: Vec::new(),
             health: Health::Sound,
+            dirty: BTreeSet::new(),
+            position: 0,
+            synced: 0,
+            removals: 0,
+            removals_synced: 0,
             owed: 0,
             retry_from: None,
             unreadable: 0,
@@ -225,6 +274,8 @@
         }
         let length = HEADER as u64;
         self.segments.push_back(Segment { length, file: length, ..Segment::new(number) });
+        self.dirty.insert(number);
+        self.position += length;
         Ok(())
     }
 
@@ -303,20 +354,66 @@
     /// # Errors
     /// What of it is there is not known: the segment is not trusted again.
     pub fn sync(&mut self) -> io::Result<()> {
-        let numbers: Vec<u64> = self.segments.iter().map(|s| s.number).collect();
-        for number in numbers {
-            if let Err(error) = self.disk.sync(number) {
-                self.distrust();
+        let segments = std::mem::take(&mut self.dirty);
+        let position = self.position;
+        for number in &segments {
+            let there = self.segments.iter().any(|s| s.number == *number);
+            if let Err(error) = if there { self.disk.sync(*number) } else { Ok(()) } {
+                self.distrust(&segments);
                 return Err(error);
             }
         }
+        self.synced = self.synced.max(position);
+        if self.removals > self.removals_synced {
+            self.disk.sync_folder()?;
+            self.removals_synced = self.removals;
+        }
         Ok(())
     }
 
-    /// The tail is not written to again: after a failed sync, nothing tells what of it is on the disk.
-    pub fn distrust(&mut self) {
+    /// A job has been done, or has failed. What it was to confirm is not trusted then: its live records are carried to
+    /// a fresh segment, and the journal says so if it can't.
+    ///
+    /// # Errors
+    /// The sync's, or one of the carrying.
+    pub fn synced(&mut self, job: &SyncJob, result: io::Result<()>) -> io::Result<()> {
+        match result {
+            Ok(()) => {
+                self.synced = self.synced.max(job.position);
+                self.removals_synced = self.removals_synced.max(job.removals);
+                Ok(())
+            }
+            Err(error) => {
+                self.distrust(&job.segments);
+                Err(error)
+            }
+        }
+    }
+
+    /// Whether something waits for a sync: removals, beside what the owner wants to be sure of.
+    pub fn wants_sync(&self) -> bool {
+        let held_up = |front: &Segment| front.live == 0 && !self.may_go(front);
+        self.options.durable && self.segments.len() > 1 && self.segments.front().is_some_and(held_up)
+    }
+
+    fn may_go(&self, front: &Segment) -> bool {
+        !self.options.durable || (front.carried_at <= self.synced && self.removals == self.removals_synced)
+    }
+
+    /// These segments are not written to again, and nothing rests on them any more.
+    fn distrust(&mut self, segments: &BTreeSet<u64>) {
         if let Err(error) = self.begin_segment() {
-            self.health = Health::Failed(error.to_string());
+            self.health = Health::Failed(format!("after a failed sync: {error}"));
+            return;
+        }
+        let here = |places: &Vec<Place>| places.iter().any(|p| segments.contains(&p.segment));
+        let numbers: Vec<u64> =
+            self.live.iter().filter(|(_, places)| here(places)).map(|(n, _)| *n).collect();
+        for number in numbers {
+            if let Err(error) = self.carry(number) {
+                self.health = Health::Failed(format!("after a failed sync: {error}"));
+                return;
+            }
         }
     }
 
@@ -337,6 +434,10 @@
         let mut looked = 0;
         while self.owed > 0 && self.segments.len() > 1 {
             let done = self.pass_some()?;
+            if done == u64::MAX {
+                // The front waits for a sync; what is owed is passed over after it.
+                break;
+            }
             self.owed = self.owed.saturating_sub(done);
             looked += 1;
             if looked % LOOK_EVERY == 0 && Instant::now() >= until {
@@ -396,9 +497,14 @@
         while !self.pacing.may_append(bytes, self.length()) && left > 1 {
             // The steps between have not kept up: this record pays for a whole segment.
             left -= 1;
+            if self.wants_sync() {
+                self.sync()?;
+            }
             let front = self.segments.front().map(|s| s.number);
             while self.segments.front().map(|s| s.number) == front {
-                self.pass_some()?;
+                if self.pass_some()? == u64::MAX && self.wants_sync() {
+                    self.sync()?;
+                }
             }
         }
         if !self.pacing.may_append(bytes, self.length()) && self.length() + bytes + BLOCK > self.pacing.room {
@@ -493,6 +599,8 @@
         }
         tail.length += done as u64;
         tail.file = tail.length;
+        self.dirty.insert(tail.number);
+        self.position += done as u64;
         Ok(())
     }
 
@@ -532,8 +640,8 @@
         }
         if self.segments.front().is_some_and(|s| s.live == 0) {
             let bytes = self.segments.front().map_or(0, Segment::blocks);
-            self.drop_front()?;
-            return Ok(bytes);
+            let gone = self.drop_front()?;
+            return Ok(if gone { bytes } else { u64::MAX });
         }
         let Some(front) = self.segments.front_mut() else { return Ok(u64::MAX) };
         let (segment, next) = (front.number, front.messages.pop());
@@ -586,8 +694,15 @@
             let record = Record::Carried(Box::new(restored));
             let frame = frame::encode_with(self.tail_seed(), &(number, &record))?;
             let place = self.write_frames(&frame)?;
+            let left: Vec<u64> = self.live.get(&number).into_iter().flatten().map(|p| p.segment).collect();
             self.forget(number);
             self.add(number, place);
+            let position = self.position;
+            for segment in left {
+                if let Some(segment) = self.segment(segment) {
+                    segment.carried_at = position;
+                }
+            }
             self.carried += u64::from(place.length);
         }
         Ok(passed)
@@ -595,13 +710,16 @@
 
     /// Removes the oldest segment if nothing in it is live.
     fn drop_front(&mut self) -> io::Result<bool> {
-        let Some(front) = self.segments.front().filter(|s| s.live == 0) else { return Ok(false) };
+        let Some(front) = self.segments.front().filter(|s| s.live == 0 && self.may_go(s)) else {
+            return Ok(false);
+        };
         if self.segments.len() < 2 {
             return Ok(false);
         }
         // Records that wait may say that messages of this segment are over: it must not matter any more that they
         // are only in memory. It does not: with the segment their beginnings go, and nothing follows from the rest.
         self.disk.remove(front.number)?;
+        self.removals += 1;
         self.segments.pop_front();
         Ok(true)
     }
--- a/crates/journal/src/journal_tests.rs
+++ b/crates/journal/src/journal_tests.rs
@@ -8,7 +8,7 @@
 const ROOM: u64 = 400_000;
 
 fn options(room: u64) -> Options {
-    Options { room, attempts: 8, name: 16, identity: 0x1234_5678_9abc_def0 }
+    Options { room, attempts: 8, name: 16, durable: false, identity: 0x1234_5678_9abc_def0 }
 }
 
 fn message(number: u64, body: usize) -> Accepted {
@@ -452,3 +452,81 @@
         prop_assert_eq!(restored.len(), damaged.messages.len());
     }
 }
+
+/// The power is cut at every operation: what a sync has confirmed is there, with every record of it; what came after
+/// may be there or not; and nothing that was over when it was confirmed comes back.
+#[test]
+fn what_a_sync_has_confirmed_outlives_a_power_cut() {
+    let durable = Options { durable: true, ..options(ROOM) };
+    let run = |model: &Model| {
+        let (journal, _) = Journal::open_on(model.clone(), durable).unwrap();
+        let mut owner = Owner::new(journal, 11);
+        // What was confirmed last, and every state since.
+        let mut confirmed = Held::new();
+        let mut over: BTreeSet<u64> = BTreeSet::new();
+        for n in 0..500 {
+            let cut_off = owner.act(4_000).err().flatten();
+            if model.is_dead() {
+                // It may have been written all the same.
+                if let Some((number, record)) = cut_off.map(|c| *c) {
+                    follow(&mut owner.held, number, record);
+                }
+                break;
+            }
+            if n % 6 == 0 && owner.journal.flush().and_then(|()| owner.journal.sync()).is_ok() {
+                over.extend(confirmed.keys().filter(|k| !owner.held.contains_key(k)));
+                confirmed = owner.held.clone();
+            }
+        }
+        (owner, confirmed, over)
+    };
+    let whole = Model::default();
+    let (owner, ..) = run(&whole);
+    assert!(owner.journal.written().1 > 0 && owner.journal.removals > 3, "the workload compacts");
+    let step = std::env::var("FOLDTRACK_KILL_STEP").ok().and_then(|n| n.parse().ok()).unwrap_or(11);
+    for at in (5..=whole.operations()).step_by(step) {
+        let model = Model::default();
+        model.plan(at, Fault::Kill(at % 2 == 0));
+        let (owner, confirmed, over) = run(&model);
+        for seed in 0..3 {
+            let told = format!("cut at {at}, seed {seed}");
+            let (_, found) = Journal::open_on(model.after_power_cut(seed * 1_000 + at), durable).unwrap();
+            for (number, before) in &confirmed {
+                match found.get(number) {
+                    Some(now) => {
+                        assert!(
+                            now.accepted == before.accepted && now.taken == before.taken,
+                            "{told}: {number}"
+                        );
+                        assert!(
+                            now.attempts.len() >= before.attempts.len(),
+                            "{told}: {number} has lost an attempt"
+                        );
+                        let fates = before.attempts.iter().zip(&now.attempts);
+                        assert!(fates.clone().all(|(b, n)| b.at == n.at), "{told}: {number}");
+                    }
+                    None => assert!(!owner.held.contains_key(number), "{told}: {number} is lost"),
+                }
+            }
+            let back = found.keys().find(|n| over.contains(n));
+            assert!(back.is_none(), "{told}: {back:?} came back");
+        }
+    }
+}
+
+/// A sync that fails: what it was to confirm is carried to another segment, which the next one confirms.
+#[test]
+fn a_segment_whose_sync_has_failed_is_not_trusted_again() {
+    let durable = Options { durable: true, ..options(ROOM) };
+    let model = Model::default();
+    let (mut journal, _) = Journal::open_on(model.clone(), durable).unwrap();
+    (1..=5).for_each(|n| journal.append(n, &accepted(n, 200)).unwrap());
+    model.plan(1, Fault::Fail);
+    assert!(journal.sync().is_err());
+    assert!(journal.live.values().flatten().all(|place| place.segment > 1), "{:?}", journal.live);
+    journal.sync().unwrap();
+    // Whatever becomes of the first segment, all is there.
+    model.change(1, Vec::clear);
+    let (_, found) = Journal::open_on(model.after_power_cut(1), durable).unwrap();
+    assert!(found.keys().copied().eq(1..=5));
+}
--- a/crates/journal/src/model.rs
+++ b/crates/journal/src/model.rs
@@ -21,6 +21,9 @@
 struct Inner {
     segments: BTreeMap<u64, Vec<u8>>,
     old: Option<Vec<u8>>,
+    /// Bytes of each segment that a sync has confirmed, and segments whose removal none has.
+    synced: BTreeMap<u64, usize>,
+    removed: BTreeMap<u64, (Vec<u8>, usize)>,
     operations: u64,
     fault: Option<(u64, Fault)>,
     full: bool,
@@ -66,6 +69,58 @@
         Model(Rc::new(RefCell::new(fresh)))
     }
 
+    /// A new process after the power was cut: what was not synced is there or not, sector by sector, by a seed; files
+    /// that were not synced may be gone, and removals that were not may not have happened.
+    pub fn after_power_cut(&self, seed: u64) -> Model {
+        const SECTOR: usize = 512;
+        let model = self.again();
+        let mut random = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut draw = move || {
+            random ^= random << 13;
+            random ^= random >> 7;
+            random ^= random << 17;
+            random % 3
+        };
+        {
+            let mut inner = model.0.borrow_mut();
+            let removed = std::mem::take(&mut inner.removed);
+            for (segment, (bytes, synced)) in removed {
+                if draw() == 0 {
+                    inner.segments.insert(segment, bytes);
+                    inner.synced.insert(segment, synced);
+                }
+            }
+            let synced = inner.synced.clone();
+            let mut gone = Vec::new();
+            for (segment, bytes) in &mut inner.segments {
+                let Some(kept) = synced.get(segment).copied() else {
+                    // Never synced: its entry may not be there.
+                    if draw() == 0 {
+                        gone.push(*segment);
+                    }
+                    bytes.iter_mut().for_each(|b| *b = if draw() == 0 { 0 } else { *b });
+                    continue;
+                };
+                let mut at = kept.min(bytes.len());
+                while at < bytes.len() {
+                    let end = ((at / SECTOR + 1) * SECTOR).min(bytes.len());
+                    if draw() == 0 {
+                        bytes[at..end].fill(0);
+                    }
+                    at = end;
+                }
+                if draw() == 0 {
+                    let length = bytes.len();
+                    bytes.truncate(kept.min(length) + (length - kept.min(length)) / 2);
+                }
+            }
+            for segment in gone {
+                inner.segments.remove(&segment);
+            }
+        }
+        model
+    }
+
     pub fn give_room(&self) {
         self.0.borrow_mut().full = false;
     }
@@ -202,12 +257,29 @@
         })
     }
 
-    fn sync(&mut self, _: u64) -> io::Result<()> {
-        self.act(false, |_| Ok(()))
+    fn sync(&mut self, segment: u64) -> io::Result<()> {
+        self.act(false, |inner| {
+            let length = inner.segments.get(&segment).ok_or_else(missing)?.len();
+            inner.synced.insert(segment, length);
+            inner.removed.clear();
+            Ok(())
+        })
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.act(false, |inner| {
+            inner.removed.clear();
+            Ok(())
+        })
     }
 
     fn remove(&mut self, segment: u64) -> io::Result<()> {
-        self.act(false, |inner| inner.segments.remove(&segment).map(drop).ok_or_else(missing))
+        self.act(false, |inner| {
+            let bytes = inner.segments.remove(&segment).ok_or_else(missing)?;
+            let synced = inner.synced.remove(&segment).unwrap_or_default();
+            inner.removed.insert(segment, (bytes, synced));
+            Ok(())
+        })
     }
 
     fn old(&mut self) -> io::Result<Option<Vec<u8>>> {
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -51,6 +51,7 @@
     let state_place = head.place("state");
     let state = head.need("state", PathBuf::new(), "\"/var/lib/foldtrack\"", found, by(folder));
     let state_name = head.name("state");
+    let durability = head.or("durability", Durability::Machine, found, by(durability));
     head.done(found);
 
     let table = top.table("limits", found);
@@ -123,7 +124,7 @@
         found.add(&(0..0), "partner", problem);
     }
 
-    let site = Site { name, listen, state, limits, ends, calls, classes, kinds, partners };
+    let site = Site { name, listen, state, durability, limits, ends, calls, classes, kinds, partners };
     if site.control_socket().as_os_str().len() > LONGEST_SOCKET_PATH {
         let problem = format!(
             "is too long: the control line's socket in it may have a path of {LONGEST_SOCKET_PATH} bytes at most"
@@ -232,6 +233,14 @@
     class
 }
 
+fn durability(text: &str) -> Result<Durability, String> {
+    match text {
+        "process" => Ok(Durability::Process),
+        "machine" => Ok(Durability::Machine),
+        _ => Err(format!("{text:?} is no durability; one is \"process\" or \"machine\"")),
+    }
+}
+
 fn effect(text: &str) -> Result<Effect, String> {
     match text {
         "repeatable" => Ok(Effect::Repeatable),
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -14,6 +14,15 @@
     Once,
 }
 
+/// What outlives what was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Durability {
+    /// The process, however it ends.
+    Process,
+    /// The machine: an answer is given once its record is on stable storage.
+    Machine,
+}
+
 /// A class of message.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -116,6 +125,8 @@
     pub listen: SocketAddr,
     /// The state folder.
     pub state: PathBuf,
+    /// What an answer promises.
+    pub durability: Durability,
     /// Bounds.
     pub limits: Limits,
     /// Bounds of the kept ends.
--- a/crates/site/src/template.rs
+++ b/crates/site/src/template.rs
@@ -8,6 +8,7 @@
 name = "my-site"
 listen = "127.0.0.1:8080"       # where the services of the house hand messages in
 state = "foldtrack-state"       # the folder that outlasts the process; one process at a time
+durability = "machine"          # what is answered outlives a power cut; "process": only the process, and faster
 
 [limits]
 memory = "256MiB"
--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -3,6 +3,7 @@
 
 mod demo;
 mod ends;
+mod journal;
 mod orders;
 mod send;
 mod show;
@@ -132,6 +133,8 @@
     Send(send::Send),
     /// Writes how messages ended as JSON lines, and acknowledges them
     Ends(ends::Ends),
+    /// Looks into the journal of a state folder, read-only
+    Journal(journal::Journal),
     /// Shows the main job: a forwarder among failing partners, and the rules checked from their books
     Demo(demo::Demo),
     /// Ends the forwarder; what it holds is taken up at its next start
@@ -251,6 +254,7 @@
         Command::Remove { endpoint, asked } => orders::order(&asked, Ask::Remove { endpoint }),
         Command::Send(words) => send::send(&words),
         Command::Ends(words) => ends::ends(&words),
+        Command::Journal(words) => journal::journal(&words),
         Command::Demo(words) => demo::demo(&words),
         Command::Stop(asked) => orders::stop(&asked),
     }
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -79,7 +79,7 @@
 }
 
 /// A time of day in UTC.
-fn time(unix_us: u64) -> String {
+pub(super) fn time(unix_us: u64) -> String {
     let at = UNIX_EPOCH + Duration::from_micros(unix_us);
     humantime::format_rfc3339_millis(at).to_string()
 }
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -23,6 +23,8 @@
     pub membership: Box<dyn Membership>,
     /// The platform's taker of notices; none at a site of its own.
     pub discovery: Option<watch::Sender<SocketAddr>>,
+    /// An answer is given once its record is on stable storage.
+    pub durable: bool,
     /// What only a site of its own has.
     pub site: Option<SiteParts>,
 }
@@ -105,6 +107,7 @@
             settings: file.settings,
             membership: Box::new(Agent { discovery: discovery.clone(), known: file.known }),
             discovery: Some(discovery),
+            durable: false,
             site: None,
         };
         Ok((config, PathBuf::from(path)))
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -6,6 +6,7 @@
 use crate::message;
 use foldtrack_control::{Done, Endpoint, Error, Failure, Message, Partner, Queue, Status};
 use foldtrack_ends::Fetched;
+use foldtrack_journal::journal::SyncJob;
 use foldtrack_membership::Order;
 use hatchline::{LimitReport, Outcome, TargetId};
 use hyper::StatusCode;
@@ -76,10 +77,18 @@
     /// Discovery is there from now on.
     Discovery(SocketAddr),
     Terminate,
+    /// What the disk has confirmed, or failed to.
+    Synced(Synced),
     /// Of a site of its own: everything below.
     Site(Ask),
 }
 
+/// A sync that has been done, or has failed.
+pub(crate) struct Synced {
+    pub job: SyncJob,
+    pub result: io::Result<()>,
+}
+
 /// What fronts of a site ask the node. Each has one answer.
 pub(crate) enum Ask {
     /// Ends after a cursor, which acknowledges those up to it unless the client only peeks.
--- a/src/bin/foldtrack/ends_api.rs
+++ b/src/bin/foldtrack/ends_api.rs
@@ -4,7 +4,7 @@
 //! acknowledges those up to it; where there is none, it waits for one.
 
 use crate::door::{Ask, Input, Inputs};
-use crate::node::told_end;
+use crate::told::told_end;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -20,6 +20,7 @@
 mod streams;
 mod table;
 mod targets;
+mod told;
 
 use config::Config;
 use door::{Input, Inputs};
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -114,7 +114,10 @@
             connection: self.idle.take(target),
             reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
         };
-        tokio::spawn(targets::call(call, cancelled, self.inputs.clone()));
+        match &mut self.durable {
+            Some(durable) => durable.gathering.calls.push((call, cancelled)),
+            None => drop(tokio::spawn(targets::call(call, cancelled, self.inputs.clone()))),
+        }
     }
 
     pub(super) fn outcome(&mut self, id: u64, attempt: u32, target: TargetId, outcome: Outcome, ended: bool) {
--- /dev/null
+++ b/src/bin/foldtrack/node/durable.rs
@@ -0,0 +1,134 @@
+//! Group commit: what must be on stable storage before it is said or done waits here for a sync, and thousands share
+//! one. Syncs run off the loop, one at a time; while one runs the next group gathers.
+
+use super::Node;
+use crate::door::{Answer, CallEnd, Input, Receipt, Synced};
+use crate::targets::{self, Call};
+use foldtrack_ends::Result as EndResult;
+use foldtrack_journal::journal::SyncJob;
+use foldtrack_journal::Record;
+use hatchline::Outcome;
+use std::fs::File;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// What waits for the same sync.
+#[derive(Default)]
+pub(super) struct Group {
+    /// Clients who are told that their message is taken on.
+    pub answers: Vec<(u64, oneshot::Sender<Answer>)>,
+    /// Calls whose records must be there before their first byte goes: a payment must not be sent again after a power
+    /// cut because nothing tells of the first time.
+    pub calls: Vec<(Call, oneshot::Receiver<()>)>,
+    /// Messages whose ends are told, and which the journal then forgets; and the last of these ends.
+    pub ended: Vec<(u64, EndResult)>,
+    pub last_end: u64,
+}
+
+impl Group {
+    fn is_empty(&self) -> bool {
+        self.answers.is_empty() && self.calls.is_empty() && self.ended.is_empty()
+    }
+}
+
+/// The state of group commit; `None` in its place means that nothing waits for the disk.
+#[derive(Default)]
+pub(super) struct Durable {
+    pub gathering: Group,
+    under_way: Option<Group>,
+}
+
+impl Node {
+    /// Begins a sync for what has gathered, if none runs.
+    pub(super) fn begin_sync(&mut self) {
+        let Some(durable) = &mut self.durable else { return };
+        if durable.under_way.is_some() || durable.gathering.is_empty() && !self.journal.wants_sync() {
+            return;
+        }
+        let ends = self.site.as_mut().map_or(Ok(Vec::new()), |s| s.ends.sync_job());
+        let (job, ends): (SyncJob, Vec<File>) =
+            match ends.and_then(|ends| Ok((self.journal.sync_job()?, ends))) {
+                Ok(jobs) => jobs,
+                Err(error) => {
+                    // Out of descriptors: the group waits for the next round.
+                    eprintln!("journal: a sync could not be begun: {error}");
+                    return;
+                }
+            };
+        durable.under_way = Some(std::mem::take(&mut durable.gathering));
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_blocking(move || {
+            // Ends first: a message must not be forgotten before its end is there.
+            let result = ends.iter().try_for_each(File::sync_data).and_then(|()| job.run());
+            inputs.send(Input::Synced(Synced { job, result }));
+        });
+    }
+
+    /// Says and does what has waited for a sync.
+    pub(super) fn synced(&mut self, synced: Synced) {
+        let Synced { job, result } = synced;
+        let sound = result.is_ok();
+        if let Err(error) = self.journal.synced(&job, result) {
+            eprintln!("journal: a sync has failed, its segments are not trusted again: {error}");
+        }
+        let Some(group) = self.durable.as_mut().and_then(|d| d.under_way.take()) else { return };
+        for (number, reply) in group.answers {
+            if sound {
+                let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
+                let _ = reply.send(Answer::TakenOn(receipt));
+            } else {
+                // It may be there after a power cut or not: the client keeps it, under the same id.
+                let _ = reply.send(self.full_answer());
+                self.record(number, &Record::Over);
+                self.withdraw(number);
+            }
+        }
+        for (call, cancelled) in group.calls {
+            self.release_call(call, cancelled, sound);
+        }
+        self.release_ends(group.ended, group.last_end, sound);
+    }
+
+    /// Starts a call that has waited, unless its time is over, it was called off, or its target was closed.
+    fn release_call(&mut self, call: Call, mut cancelled: oneshot::Receiver<()>, sound: bool) {
+        let stands =
+            cancelled.try_recv().is_err() && call.until > Instant::now() && self.targets.is_open(call.target);
+        if sound && stands {
+            tokio::spawn(targets::call(call, cancelled, self.inputs.clone()));
+            return;
+        }
+        let (idle, connection) = match call.connection {
+            Some((connection, idle)) => (Some(idle), Some(connection)),
+            None => (None, None),
+        };
+        self.inputs.send(Input::CallEnded(CallEnd {
+            number: call.number,
+            attempt: call.attempt,
+            target: call.target,
+            begun: Instant::now(),
+            outcome: Outcome::NotSent,
+            over: false,
+            wait_until: None,
+            report: None,
+            idle,
+            connection,
+        }));
+    }
+
+    fn release_ends(&mut self, ended: Vec<(u64, EndResult)>, last: u64, sound: bool) {
+        let Some(site) = &mut self.site else { return };
+        site.ends.release(last);
+        site.ends_seen.send_replace(site.ends.last());
+        for (number, result) in ended {
+            if sound {
+                if let Err(error) = self.journal.over_soon(number) {
+                    eprintln!("journal: {error}");
+                }
+            } else {
+                // Whether the end is there is not known: the journal keeps the message until a restart, with how it
+                // ended.
+                self.tell_journal(number, result);
+            }
+        }
+    }
+}
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -136,9 +136,16 @@
         }
         match site.ends.commit() {
             Ok(()) => {
-                site.ends_seen.send_replace(site.ends.last());
                 site.behind_told = 0;
-                for (number, _) in site.ended.drain(..) {
+                let (ended, last) = (std::mem::take(&mut site.ended), site.ends.written());
+                if let Some(durable) = &mut self.durable {
+                    durable.gathering.ended.extend(ended);
+                    durable.gathering.last_end = last;
+                    return;
+                }
+                site.ends.release(last);
+                site.ends_seen.send_replace(last);
+                for (number, _) in ended {
                     if let Err(error) = self.journal.over_soon(number) {
                         eprintln!("journal: {error}");
                     }
@@ -151,19 +158,22 @@
                 let told: Vec<_> = site.ended[site.behind_told..].to_vec();
                 site.behind_told = site.ended.len();
                 for (number, result) in told {
-                    let record = match result {
-                        EndResult::Delivered => Record::Delivered,
-                        EndResult::HandedBack { retry_in_ms } => {
-                            Record::Noticed(Notice::HandedBack { retry_in_ms })
-                        }
-                        _ => Record::Noticed(Notice::GivenUp),
-                    };
-                    self.record(number, &record);
+                    self.tell_journal(number, result);
                 }
             }
         }
     }
 
+    /// Tells the journal how a message ended whose end may not be kept.
+    pub(super) fn tell_journal(&mut self, number: u64, result: EndResult) {
+        let record = match result {
+            EndResult::Delivered => Record::Delivered,
+            EndResult::HandedBack { retry_in_ms } => Record::Noticed(Notice::HandedBack { retry_in_ms }),
+            EndResult::GivenUp | EndResult::InDoubt => Record::Noticed(Notice::GivenUp),
+        };
+        self.record(number, &record);
+    }
+
     /// Drops ends that are out of their bounds. None goes before the journal knows its message to be over.
     pub(super) fn sweep_ends(&mut self) {
         let Some(site) = &mut self.site else { return };
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -68,7 +68,7 @@
     }
 
     /// The answer where there is no room, or no endpoint.
-    fn full_answer(&mut self) -> Answer {
+    pub(super) fn full_answer(&mut self) -> Answer {
         self.site.as_mut().map_or(Answer::Refused { retry_in_ms: 0 }, |s| s.full(0))
     }
 
@@ -98,6 +98,10 @@
                 self.withdraw(number);
                 continue;
             }
+            if let Some(durable) = &mut self.durable {
+                durable.gathering.answers.push((number, reply));
+                continue;
+            }
             let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
             // If the client has gone, the receipt is dropped here and says so.
             let _ = reply.send(Answer::TakenOn(receipt));
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod appliance;
 mod calls;
+mod durable;
 mod endings;
 mod intake;
 mod orders;
@@ -21,8 +22,6 @@
 use crate::message::Message;
 use crate::notices::Notices;
 use crate::table::{Ids, Targets};
-pub(crate) use picture::told_end;
-
 use appliance::{Appliance, LONGEST_NAME};
 use foldtrack_ends::Attempt;
 use foldtrack_journal::{Journal, Options};
@@ -99,6 +98,8 @@
     discovery: Option<watch::Sender<SocketAddr>>,
     /// What a site of its own has in its place.
     site: Option<Box<Appliance>>,
+    /// Where answers wait for stable storage.
+    durable: Option<durable::Durable>,
     /// A picture for people that is being made.
     scan: picture::Scan,
     /// Lists taken in. Their own versions begin anew where discovery moves.
@@ -134,7 +135,13 @@
     let max_attempts = settings.settings.max_attempts;
     let site = config.site.map(|parts| Appliance::new(parts, ends_seen, config.memory_bytes as u64));
     let name = if site.is_some() { LONGEST_NAME } else { 0 };
-    let options = Options { room: config.disk_bytes, attempts: max_attempts, name, identity: config.seed };
+    let options = Options {
+        room: config.disk_bytes,
+        attempts: max_attempts,
+        name,
+        durable: config.durable,
+        identity: config.seed,
+    };
     let (journal, restored) = Journal::open(&config.state, options)?;
     // Numbers of messages that are over may stand in kept ends: none is used twice.
     let highest = journal.highest().max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
@@ -152,6 +159,7 @@
         membership: config.membership,
         discovery: config.discovery,
         site: site.map(Box::new),
+        durable: config.durable.then(durable::Durable::default),
         scan: picture::Scan::default(),
         lists: 0,
         next_number: highest + 1,
@@ -226,6 +234,7 @@
         self.answer_clients();
         self.commit_ends();
         self.step_journal();
+        self.begin_sync();
         self.step_scan();
         self.report_notices();
         self.step_down();
@@ -276,6 +285,7 @@
                 self.notices.moved();
             }
             Input::Site(ask) => self.asked(ask),
+            Input::Synced(synced) => self.synced(synced),
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
@@ -326,7 +336,7 @@
     }
 
     fn wake_at(&self) -> Instant {
-        if self.scan.is_running() || self.journal.is_owing() {
+        if self.scan.is_running() || self.journal.is_owing() && !self.journal.wants_sync() {
             return Instant::now();
         }
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
--- a/src/bin/foldtrack/node/picture.rs
+++ b/src/bin/foldtrack/node/picture.rs
@@ -3,8 +3,8 @@
 
 use super::Node;
 use crate::door::{Picture, Stage};
-use foldtrack_control::{Attempt, Endpoint, Message, Partner, Queue, Status, MOST_LINES};
-use foldtrack_ends::{End, Result as EndResult};
+use crate::told::{told_attempt, told_end};
+use foldtrack_control::{Endpoint, Message, Partner, Queue, Status, MOST_LINES};
 use foldtrack_membership::State;
 use hatchline::views::{DestinationView, Health, LaneView};
 use hatchline::{Micros, TargetId};
@@ -297,7 +297,7 @@
                 key: message.key.clone(),
                 taken: held.since,
                 expires: self.clock.unix(message.expires),
-                attempts: held.history.iter().map(attempt).collect(),
+                attempts: held.history.iter().map(told_attempt).collect(),
                 ..Message::default()
             });
         }
@@ -310,31 +310,3 @@
         }
     }
 }
-
-fn attempt(attempt: &foldtrack_ends::Attempt) -> Attempt {
-    let (endpoint, outcome) = (attempt.endpoint.clone(), attempt.outcome.word().into());
-    let may_have_run = !attempt.outcome.never_ran();
-    Attempt { at: attempt.at, until: attempt.until, endpoint, outcome, may_have_run }
-}
-
-/// An end as it is told.
-pub(crate) fn told_end(end: &End) -> Message {
-    let (state, retry_in_ms) = match end.result {
-        EndResult::Delivered => ("delivered", 0),
-        EndResult::GivenUp => ("given_up", 0),
-        EndResult::InDoubt => ("in_doubt", 0),
-        EndResult::HandedBack { retry_in_ms } => ("handed_back", retry_in_ms),
-    };
-    Message {
-        id: end.id.clone(),
-        state: state.into(),
-        class: end.class.clone(),
-        partner: end.partner.clone(),
-        key: end.key.clone(),
-        taken: end.taken,
-        expires: 0,
-        ended: end.ended,
-        retry_in_ms,
-        attempts: end.attempts.iter().map(attempt).collect(),
-    }
-}
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -8,7 +8,7 @@
 use foldtrack_ends::shelf::Bounds;
 use foldtrack_ends::Store;
 use foldtrack_membership::{Listed, Log, SiteList};
-use foldtrack_site::{Effect, Site, MOST_ENDPOINTS};
+use foldtrack_site::{Durability, Effect, Site, MOST_ENDPOINTS};
 use hatchline::settings::Parsed;
 use hatchline::{Class, Decay, Group, ListedRate, Rules, Settings};
 use std::fs::{self, File, OpenOptions, TryLockError};
@@ -52,6 +52,7 @@
         settings: settings(&site),
         membership: Box::new(SiteMembership::new(log, site.clone())),
         discovery: None,
+        durable: site.durability == Durability::Machine,
         site: Some(SiteParts { site, ends }),
     };
     let ends = [SignalKind::terminate(), SignalKind::interrupt()];
--- a/src/bin/foldtrack/table.rs
+++ b/src/bin/foldtrack/table.rs
@@ -83,6 +83,11 @@
         Some((server.address, server.zone))
     }
 
+    /// Whether something new may go to a target.
+    pub fn is_open(&self, number: TargetId) -> bool {
+        self.servers.get(&number).is_some_and(|s| !s.gone && !s.leaving)
+    }
+
     /// Name of a target.
     pub fn name(&self, number: TargetId) -> &str {
         self.servers.get(&number).map_or("", |s| &s.id)
--- /dev/null
+++ b/src/bin/foldtrack/told.rs
@@ -0,0 +1,33 @@
+//! Ends and attempts in the words of the control protocol, which the listener speaks too.
+
+use foldtrack_control::{Attempt, Message};
+use foldtrack_ends::{End, Result as EndResult};
+
+/// An attempt as it is told.
+pub(crate) fn told_attempt(attempt: &foldtrack_ends::Attempt) -> Attempt {
+    let (endpoint, outcome) = (attempt.endpoint.clone(), attempt.outcome.word().into());
+    let may_have_run = !attempt.outcome.never_ran();
+    Attempt { at: attempt.at, until: attempt.until, endpoint, outcome, may_have_run }
+}
+
+/// An end as it is told.
+pub(crate) fn told_end(end: &End) -> Message {
+    let (state, retry_in_ms) = match end.result {
+        EndResult::Delivered => ("delivered", 0),
+        EndResult::GivenUp => ("given_up", 0),
+        EndResult::InDoubt => ("in_doubt", 0),
+        EndResult::HandedBack { retry_in_ms } => ("handed_back", retry_in_ms),
+    };
+    Message {
+        id: end.id.clone(),
+        state: state.into(),
+        class: end.class.clone(),
+        partner: end.partner.clone(),
+        key: end.key.clone(),
+        taken: end.taken,
+        expires: 0,
+        ended: end.ended,
+        retry_in_ms,
+        attempts: end.attempts.iter().map(told_attempt).collect(),
+    }
+}
--- a/tests/site/kills.rs
+++ b/tests/site/kills.rs
@@ -73,10 +73,22 @@
 /// effect is told as given up or handed back.
 #[test]
 fn no_end_is_lost_and_none_is_false_however_often_the_process_is_killed() {
+    killed_under_load("process");
+}
+
+#[test]
+fn nor_where_every_answer_waits_for_the_disk() {
+    killed_under_load("machine");
+}
+
+fn killed_under_load(durability: &'static str) {
     let conduct = Conduct { resets: 0.02, errors: 0.02, ..Conduct::default() };
     let partner = Partner::start(7, conduct);
     let mut plan = Plan::of(&[("p", "a", partner.address())]);
-    plan.limits = "messages = 2000";
+    // A small room: the journal compacts all the time.
+    plan.limits = "messages = 2000\ndisk = \"16MiB\"";
+    plan.ends = "size = \"8MiB\"";
+    plan.durability = durability;
     let mut site = Site::start(&plan);
     let (taken, stop, next) = (Mutex::new(BTreeSet::new()), AtomicBool::new(false), AtomicUsize::new(0));
     let mut ends: BTreeMap<u64, (String, String)> = BTreeMap::new();
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -481,3 +481,79 @@
     assert!(run.status.success() && shown.contains("took effect twice"), "{shown}");
     assert!(!shown.contains("BROKEN"), "{shown}");
 }
+
+/// With `durability = "machine"` every answer, call and end waits for a sync; they share it, and all ends the same.
+#[test]
+fn what_waits_for_the_disk_is_answered_sent_and_told_all_the_same() {
+    let partner = Partner::start(5, Conduct { answers: (MS(0), MS(1)), ..Conduct::default() });
+    let mut plan = Plan::of(&[("p", "a", partner.address())]);
+    plan.durability = "machine";
+    let mut site = Site::start(&plan);
+    thread::scope(|scope| {
+        for worker in 0..16 {
+            let site = &site;
+            scope.spawn(move || {
+                for n in 0..15 {
+                    let class = if n % 2 == 0 { "fee" } else { "update" };
+                    assert_eq!(
+                        site.post(class, &format!("k{worker}"), &format!("m{worker}-{n}"), "x").0,
+                        202
+                    );
+                }
+            });
+        }
+    });
+    eventually("all ends", || site.status().delivered == 240);
+    assert_eq!(partner.calls(), 240);
+    let told = String::from_utf8(site.run(&["ends"]).stdout).unwrap();
+    assert_eq!(told.lines().count(), 240);
+    site.kill();
+    site.start_again();
+    assert_eq!((site.status().held, site.state_of("m3-4")), (0, "delivered".into()));
+    // Nothing goes out against an order that came while its call waited for the disk.
+    site.order(drain("a"));
+    assert_eq!(site.post("fee", "", "late", "x").0, 202);
+    sleep(MS(200));
+    assert_eq!((partner.calls(), site.state_of("late")), (240, "held".into()));
+}
+
+/// The tools read beside the owner and without it, and tell damage with its place.
+#[test]
+fn a_journal_can_be_looked_into_and_damage_is_told() {
+    let (server, mut site) = one_endpoint(|_| Reply::Silence);
+    for n in 0..20 {
+        assert_eq!(site.post("update", "k", &format!("m{n}"), "some body").0, 202);
+    }
+    eventually("the call", || server.ids().len() == 1);
+    let text = |words: &[&str]| {
+        let run = site.run(&[&["journal"], words].concat());
+        let told = String::from_utf8_lossy(&run.stderr).into_owned();
+        (run.status.code().unwrap(), String::from_utf8_lossy(&run.stdout).into_owned() + &told)
+    };
+    let check = || {
+        assert!(text(&["stat"]).1.contains("20 not over"), "{}", text(&["stat"]).1);
+        let (code, list) = text(&["list"]);
+        assert!(code == 0 && list.lines().count() == 21 && list.contains("an attempt is out"), "{list}");
+        assert!(text(&["show", "m7"]).1.contains("\"body\": \"c29tZSBib2R5\""));
+        assert_eq!((text(&["show", "m99"]).0, text(&["export"]).1.lines().count()), (4, 20));
+        assert!(text(&["verify"]).0 == 0);
+    };
+    check();
+    site.kill();
+    let text = |words: &[&str]| {
+        let run = site.run(&[&["journal"], words].concat());
+        (run.status.code().unwrap(), String::from_utf8_lossy(&run.stdout).into_owned())
+    };
+    let path = site.state().join("journal/00000001");
+    let mut bytes = std::fs::read(&path).unwrap();
+    let at = bytes.windows(3).position(|w| w == b"m11").unwrap();
+    bytes[at] ^= 1;
+    std::fs::write(&path, &bytes).unwrap();
+    let (code, told) = text(&["verify"]);
+    assert!(
+        code == 1 && told.contains("journal/00000001: byte ") && told.contains("a restart passes it over"),
+        "{told}"
+    );
+    assert_eq!(std::fs::read(&path).unwrap(), bytes, "nothing was changed");
+    assert!(text(&["stat"]).1.contains("19 not over"));
+}
--- a/tests/site/world.rs
+++ b/tests/site/world.rs
@@ -19,20 +19,21 @@
     pub endpoints: Vec<(&'static str, &'static str, SocketAddr)>,
     pub limits: &'static str,
     pub ends: &'static str,
+    pub durability: &'static str,
 }
 
 impl Plan {
     pub fn of(endpoints: &[(&'static str, &'static str, SocketAddr)]) -> Plan {
-        Plan { endpoints: endpoints.to_vec(), limits: "", ends: "" }
+        Plan { endpoints: endpoints.to_vec(), limits: "", ends: "", durability: "process" }
     }
 
     fn text(&self, listen: SocketAddr, state: &str) -> String {
         let mut text = format!(
-            "[site]\nlisten = \"{listen}\"\nstate = \"{state}\"\n[limits]\n{}\n[ends]\n{}\n\
+            "[site]\nlisten = \"{listen}\"\nstate = \"{state}\"\ndurability = \"{}\"\n[limits]\n{}\n[ends]\n{}\n\
              [class.update]\neffect = \"keyed\"\nremembered = \"20s\"\nordered = true\naim = \"3s\"\ndeadline = \"24s\"\n\
              [class.fee]\neffect = \"once\"\naim = \"3s\"\ndeadline = \"24s\"\nworth = 3\n\
              [class.note]\neffect = \"repeatable\"\ndeadline = \"24s\"\n[partner.p]\n",
-            self.limits, self.ends
+            self.durability, self.limits, self.ends
         );
         for (partner, name, address) in &self.endpoints {
             text += &format!("[partner.{partner}.endpoint.{name}]\naddress = \"{address}\"\n");
