--- /dev/null
+++ b/crates/journal/benches/journal/main.rs
@@ -0,0 +1,355 @@
+//! The journal beside that of version 1, fjall and redb, doing the same work in one run. `cargo bench -p
+//! foldtrack-journal`; `-- NAME` runs one of: appends, pause, recovery, amplification, room.
+//!
+//! The work is a message's: it is taken on, and a while later it is over. Writers that wait for a sync together share
+//! it: so many records, then one sync.
+
+mod v1;
+
+use fjall::{KeyspaceCreateOptions, PersistMode};
+use foldtrack_journal::{Accepted, Journal, Options, Record};
+use redb::{Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const TABLE: TableDefinition<u64, &[u8]> = TableDefinition::new("messages");
+/// Messages that are not over at any time in the append work.
+const HELD: u64 = 500;
+
+fn number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(usual)
+}
+
+/// A body that no compression makes shorter: some of the stores try.
+fn noise(number: u64, length: usize) -> Vec<u8> {
+    let mut random = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    let mut words = std::iter::repeat_with(move || {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        random.to_le_bytes()
+    });
+    let mut body: Vec<u8> = words.by_ref().take(length.div_ceil(8)).flatten().collect();
+    body.truncate(length);
+    body
+}
+
+fn message(number: u64, body: usize) -> Accepted {
+    Accepted {
+        id: format!("id-{number:012}"),
+        class: "submission-update".into(),
+        destination: 7,
+        key: "pupil-17".into(),
+        idempotency_key: Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211".into()),
+        retry: None,
+        expires: 1 << 50,
+        body: noise(number, body),
+    }
+}
+
+fn options(room: u64, durable: bool) -> Options {
+    Options { room, attempts: 8, name: 0, durable, identity: 7 }
+}
+
+/// A store that takes messages on, forgets them, and brings what it was told to stable storage.
+trait Store {
+    fn take(&mut self, number: u64, body: usize);
+    fn over(&mut self, number: u64);
+    /// Ends a group; with a sync or without.
+    fn end_group(&mut self, sync: bool);
+}
+
+struct Segments(Journal);
+
+impl Store for Segments {
+    fn take(&mut self, number: u64, body: usize) {
+        self.0.append(number, &Record::Accepted(message(number, body))).unwrap();
+    }
+    fn over(&mut self, number: u64) {
+        self.0.append(number, &Record::Over).unwrap();
+    }
+    fn end_group(&mut self, sync: bool) {
+        self.0.step(Instant::now() + Duration::from_micros(300)).unwrap();
+        if sync {
+            self.0.sync().unwrap();
+        }
+    }
+}
+
+struct Version1(v1::Journal, std::fs::File);
+
+impl Store for Version1 {
+    fn take(&mut self, number: u64, body: usize) {
+        let m = message(number, body);
+        let accepted = v1::Accepted {
+            id: m.id,
+            class: m.class,
+            destination: m.destination,
+            key: m.key,
+            idempotency_key: m.idempotency_key,
+            retry: m.retry,
+            expires: m.expires,
+            body: m.body,
+        };
+        self.0.append(number, &v1::Record::Accepted(accepted)).unwrap();
+    }
+    fn over(&mut self, number: u64) {
+        self.0.append(number, &v1::Record::Over).unwrap();
+    }
+    fn end_group(&mut self, sync: bool) {
+        // It never synced: what it would have cost, had it.
+        if sync {
+            self.1.sync_all().unwrap();
+        }
+    }
+}
+
+struct Fjall(fjall::Database, fjall::Keyspace, fjall::OwnedWriteBatch);
+
+impl Store for Fjall {
+    fn take(&mut self, number: u64, body: usize) {
+        let bytes = foldtrack_journal::frame::encode(&message(number, body)).unwrap();
+        self.2.insert(&self.1, number.to_be_bytes(), bytes);
+    }
+    fn over(&mut self, number: u64) {
+        self.2.remove(&self.1, number.to_be_bytes());
+    }
+    fn end_group(&mut self, sync: bool) {
+        let batch = std::mem::replace(&mut self.2, self.0.batch());
+        batch.commit().unwrap();
+        self.0.persist(if sync { PersistMode::SyncData } else { PersistMode::Buffer }).unwrap();
+    }
+}
+
+struct Redb(redb::Database, Vec<(u64, Option<usize>)>);
+
+impl Store for Redb {
+    fn take(&mut self, number: u64, body: usize) {
+        self.1.push((number, Some(body)));
+    }
+    fn over(&mut self, number: u64) {
+        self.1.push((number, None));
+    }
+    fn end_group(&mut self, sync: bool) {
+        let mut write = self.0.begin_write().unwrap();
+        write.set_durability(if sync { Durability::Immediate } else { Durability::None }).unwrap();
+        {
+            let mut table = write.open_table(TABLE).unwrap();
+            for (number, body) in self.1.drain(..) {
+                match body {
+                    Some(body) => {
+                        let bytes = foldtrack_journal::frame::encode(&message(number, body)).unwrap();
+                        table.insert(number, bytes.as_slice()).unwrap();
+                    }
+                    None => drop(table.remove(number).unwrap()),
+                }
+            }
+        }
+        write.commit().unwrap();
+    }
+}
+
+fn open(kind: &str, folder: &Path) -> Box<dyn Store> {
+    match kind {
+        "segments" => Box::new(Segments(Journal::open(folder, options(1 << 30, false)).unwrap().0)),
+        "version 1" => {
+            let journal = v1::Journal::open(folder, 1 << 30, 8).unwrap().0;
+            let file = std::fs::File::open(folder.join("journal")).unwrap();
+            Box::new(Version1(journal, file))
+        }
+        "fjall" => {
+            let database = fjall::Database::builder(folder).open().unwrap();
+            let keyspace = database.keyspace("messages", KeyspaceCreateOptions::default).unwrap();
+            let batch = database.batch();
+            Box::new(Fjall(database, keyspace, batch))
+        }
+        _ => Box::new(Redb(redb::Database::create(folder.join("redb")).unwrap(), Vec::new())),
+    }
+}
+
+const KINDS: [&str; 4] = ["segments", "version 1", "fjall", "redb"];
+
+fn appends() {
+    println!("appends a second (a message is two records: taken on, over), {HELD} held; ratio to segments");
+    for (body, sync, messages) in
+        [(200, false, 40_000), (16_384, false, 8_000), (200, true, 4_000), (16_384, true, 2_000)]
+    {
+        for writers in [1, 8, 64] {
+            // A writer alone syncs for each record: fewer do.
+            let messages = if sync && writers == 1 { messages / 8 } else { messages };
+            let mut line =
+                format!("  {body:>5} B {} {writers:>2} writers:", if sync { "sync   " } else { "no sync" });
+            let mut first = 0.0;
+            for kind in KINDS {
+                let folder = tempfile::tempdir().unwrap();
+                let mut store = open(kind, folder.path());
+                let (start, mut in_group) = (Instant::now(), 0);
+                for n in 1..=messages {
+                    store.take(n, body);
+                    if n > HELD {
+                        store.over(n - HELD);
+                    }
+                    in_group += 1;
+                    if in_group == writers {
+                        store.end_group(sync);
+                        in_group = 0;
+                    }
+                }
+                store.end_group(sync);
+                let rate = (2 * messages - HELD.min(messages)) as f64 / start.elapsed().as_secs_f64();
+                first = if first > 0.0 { first } else { rate };
+                line += &format!("  {kind} {rate:.0} ({:.2})", rate / first);
+            }
+            println!("{line}");
+        }
+    }
+}
+
+/// 100 MB are held; the longest times that taking one on and ending one take, with a step of the compaction.
+fn pause() {
+    let (body, held) = (50_000, 2_000);
+    let passing = number("PASSING", 20_000);
+    println!("pause: {held} messages of {body} bytes held, {passing} of 10000 passing; one round's time");
+    for kind in KINDS {
+        let folder = tempfile::tempdir().unwrap();
+        let mut store = open(kind, folder.path());
+        for n in 1..=held {
+            store.take(n, body);
+            store.end_group(false);
+        }
+        let mut times: Vec<f64> = (0..passing)
+            .map(|n| {
+                let start = Instant::now();
+                store.take(held + 1 + n, 10_000);
+                if n > 50 {
+                    store.over(held + 1 + n - 50);
+                }
+                store.end_group(false);
+                start.elapsed().as_secs_f64() * 1e3
+            })
+            .collect();
+        times.sort_by(f64::total_cmp);
+        let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
+        println!("  {kind:<9} p50 {:.3} ms, p99.9 {:.2} ms, longest {:.1} ms", at(0.5), at(0.999), at(1.0));
+    }
+}
+
+fn recovery() {
+    let records = 100_000;
+    println!("recovery: {records} messages of 200 bytes that are not over");
+    for kind in KINDS {
+        let folder = tempfile::tempdir().unwrap();
+        let mut store = open(kind, folder.path());
+        for n in 1..=records {
+            store.take(n, 200);
+            if n % 64 == 0 {
+                store.end_group(false);
+            }
+        }
+        store.end_group(true);
+        drop(store);
+        let start = Instant::now();
+        let found = match kind {
+            "segments" => Journal::open(folder.path(), options(1 << 30, false)).unwrap().1.len(),
+            "version 1" => v1::Journal::open(folder.path(), 1 << 30, 8).unwrap().1.len(),
+            "fjall" => {
+                let database = fjall::Database::builder(folder.path()).open().unwrap();
+                let keyspace = database.keyspace("messages", KeyspaceCreateOptions::default).unwrap();
+                keyspace.iter().map(|entry| entry.value().unwrap().len().min(1)).sum()
+            }
+            _ => {
+                let database = redb::Database::open(folder.path().join("redb")).unwrap();
+                let read = database.begin_read().unwrap();
+                let table = read.open_table(TABLE).unwrap();
+                table.iter().unwrap().map(|entry| entry.unwrap().1.value().len().min(1)).sum()
+            }
+        };
+        println!("  {kind:<9} {found} messages in {:.0} ms", start.elapsed().as_secs_f64() * 1e3);
+    }
+}
+
+/// Messages of 1,000 bytes turn over in a room of 8 MB of which so much is live.
+fn amplification() {
+    println!("write amplification: bytes written for each byte that the owner appends, room 8 MB");
+    for percent in [10, 50, 90] {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut journal, _) = Journal::open(folder.path(), options(8 << 20, false)).unwrap();
+        let (mut first, mut last) = (1, 0);
+        // Of what may be live at the most, since more is not taken on.
+        let mut most = 0;
+        while journal.has_room(1_200) {
+            last += 1;
+            journal.append(last, &Record::Accepted(message(last, 1_000))).unwrap();
+            most = journal.live_bytes();
+        }
+        while journal.live_bytes() > most / 100 * percent {
+            journal.append(first, &Record::Over).unwrap();
+            first += 1;
+        }
+        let before = journal.written();
+        let mut longest = 0;
+        for n in 0..60_000u64 {
+            last += 1;
+            journal.append(last, &Record::Accepted(message(last, 1_000))).unwrap();
+            // Some stay for long: what is over is not simply the oldest.
+            let over = if n % 4 == 0 { first } else { last - 20 };
+            if over >= first {
+                journal.append(over, &Record::Over).unwrap();
+            }
+            first += u64::from(n % 4 == 0);
+            while journal.live_bytes() > most / 100 * percent {
+                journal.append(first, &Record::Over).unwrap();
+                first += 1;
+            }
+            journal.step(Instant::now() + Duration::from_micros(300)).unwrap();
+            longest = longest.max(journal.length());
+        }
+        let (appended, carried) = (journal.written().0 - before.0, journal.written().1 - before.1);
+        println!(
+            "  {percent}% of the most that may be live: {:.2}; files {longest} bytes at the most",
+            (appended + carried) as f64 / appended as f64
+        );
+    }
+}
+
+fn room() {
+    println!("messages that fit a room of 3 MB, with what is set aside for 8 attempts of each");
+    for body in [200, 2_000, 20_000, 64_000] {
+        let count = |taken: &mut dyn FnMut(u64) -> bool| (1..).take_while(|n| taken(*n)).count();
+        let (one, two) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+        let mut segments = Journal::open(one.path(), options(3_000_000, false)).unwrap().0;
+        let mut old =
+            Version1(v1::Journal::open(two.path(), 3_000_000, 8).unwrap().0, tempfile::tempfile().unwrap());
+        let new = count(&mut |n| {
+            let fits = segments.has_room(body + 128);
+            if fits {
+                segments.append(n, &Record::Accepted(message(n, body))).unwrap();
+            }
+            fits
+        });
+        let before = count(&mut |n| {
+            let fits = old.0.has_room(body + 128);
+            if fits {
+                old.take(n, body);
+            }
+            fits
+        });
+        println!("  bodies of {body:>5}: {new} ({:.2} of version 1's {before})", new as f64 / before as f64);
+    }
+}
+
+fn main() {
+    let names: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
+    let all: [(&str, fn()); 5] = [
+        ("appends", appends),
+        ("pause", pause),
+        ("recovery", recovery),
+        ("amplification", amplification),
+        ("room", room),
+    ];
+    for (name, run) in all {
+        if names.is_empty() || names.iter().any(|n| n == name) {
+            run();
+        }
+    }
+}
--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -50,13 +50,13 @@
     /// It may or may not have been cut.
     fn truncate(&mut self, segment: u64, length: u64) -> io::Result<()>;
 
-    /// Brings a segment, and the folder's entry of it, to stable storage.
+    /// Brings a segment's bytes to stable storage; its entry in the folder is [`Disk::sync_folder`]'s.
     ///
     /// # Errors
     /// What of it is on stable storage is not known, and a later success says nothing of it.
     fn sync(&mut self, segment: u64) -> io::Result<()>;
 
-    /// Brings the folder's entries to stable storage: what has been removed stays so.
+    /// Brings the folder's entries to stable storage: what has been created is there, what has been removed stays so.
     ///
     /// # Errors
     /// What of it is on stable storage is not known.
@@ -212,8 +212,7 @@
 
     fn sync(&mut self, segment: u64) -> io::Result<()> {
         let path = self.at(segment);
-        self.file(segment)?.sync_data().map_err(|e| named(&path, &e))?;
-        self.sync_folder()
+        self.file(segment)?.sync_data().map_err(|e| named(&path, &e))
     }
 
     fn sync_folder(&mut self) -> io::Result<()> {
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -89,6 +89,8 @@
     identity: u64,
     /// The oldest first; the last is appended to.
     segments: VecDeque<Segment>,
+    /// Bytes of all but the last, in whole blocks.
+    sealed: u64,
     /// Where the records of each message stand that is not over.
     live: BTreeMap<u64, Vec<Place>>,
     live_bytes: u64,
@@ -102,6 +104,8 @@
     /// Removals so far, and how many of them are synced: a segment must not come back without those behind it.
     removals: u64,
     removals_synced: u64,
+    /// Segments were created or removed since the folder was synced.
+    entries_changed: bool,
     /// Bytes of the oldest segments that are yet to be passed over.
     owed: u64,
     /// When to try again after trouble, and how often records could not be read back since the last that could.
@@ -136,7 +140,10 @@
                 files.push(self.disk.handle(*segment)?);
             }
         }
-        files.push(self.disk.folder()?);
+        if self.entries_changed {
+            files.push(self.disk.folder()?);
+            self.entries_changed = false;
+        }
         let segments = std::mem::take(&mut self.dirty);
         Ok(SyncJob { files, segments, position: self.position, removals: self.removals })
     }
@@ -185,6 +192,7 @@
             pacing: Pacing::new(options.room),
             identity: read.identity.unwrap_or(options.identity),
             segments: VecDeque::new(),
+            sealed: 0,
             live: BTreeMap::new(),
             live_bytes: 0,
             waiting: Vec::new(),
@@ -194,6 +202,7 @@
             synced: 0,
             removals: 0,
             removals_synced: 0,
+            entries_changed: true,
             owed: 0,
             retry_from: None,
             unreadable: 0,
@@ -203,7 +212,7 @@
         };
         for read in &read.segments {
             let (number, length, file) = (read.number, read.whole, read.length);
-            journal.segments.push_back(Segment { length, file, ..Segment::new(number) });
+            journal.push_segment(Segment { length, file, ..Segment::new(number) });
         }
         let mut restored = BTreeMap::new();
         for (number, (message, places)) in read.messages {
@@ -245,6 +254,7 @@
                 // It was not begun when its process ended.
                 self.disk.remove(tail.number)?;
                 self.segments.pop_back();
+                self.sealed -= self.segments.back().map_or(0, Segment::blocks);
             }
         }
         match self.begin_segment() {
@@ -273,12 +283,18 @@
             return Err(error);
         }
         let length = HEADER as u64;
-        self.segments.push_back(Segment { length, file: length, ..Segment::new(number) });
+        self.push_segment(Segment { length, file: length, ..Segment::new(number) });
         self.dirty.insert(number);
+        self.entries_changed = true;
         self.position += length;
         Ok(())
     }
 
+    fn push_segment(&mut self, segment: Segment) {
+        self.sealed += self.segments.back().map_or(0, Segment::blocks);
+        self.segments.push_back(segment);
+    }
+
     /// Whether a message of about this size can be taken on, with all that may have to be written of it.
     pub fn has_room(&self, size: usize) -> bool {
         let reserve =
@@ -294,7 +310,7 @@
 
     /// Bytes in the files.
     pub fn length(&self) -> u64 {
-        self.segments.iter().map(Segment::blocks).sum()
+        self.sealed + self.segments.back().map_or(0, Segment::blocks)
     }
 
     /// Bytes of live records.
@@ -363,11 +379,15 @@
                 return Err(error);
             }
         }
-        self.synced = self.synced.max(position);
-        if self.removals > self.removals_synced {
-            self.disk.sync_folder()?;
+        if self.entries_changed {
+            if let Err(error) = self.disk.sync_folder() {
+                self.distrust(&segments);
+                return Err(error);
+            }
+            self.entries_changed = false;
             self.removals_synced = self.removals;
         }
+        self.synced = self.synced.max(position);
         Ok(())
     }
 
@@ -384,6 +404,7 @@
                 Ok(())
             }
             Err(error) => {
+                self.entries_changed = true;
                 self.distrust(&job.segments);
                 Err(error)
             }
@@ -720,7 +741,8 @@
         // are only in memory. It does not: with the segment their beginnings go, and nothing follows from the rest.
         self.disk.remove(front.number)?;
         self.removals += 1;
-        self.segments.pop_front();
+        self.entries_changed = true;
+        self.sealed -= self.segments.pop_front().map_or(0, |s| s.blocks());
         Ok(true)
     }
 }
--- a/crates/journal/src/model.rs
+++ b/crates/journal/src/model.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::Disk;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 
@@ -24,6 +24,8 @@
     /// Bytes of each segment that a sync has confirmed, and segments whose removal none has.
     synced: BTreeMap<u64, usize>,
     removed: BTreeMap<u64, (Vec<u8>, usize)>,
+    /// Segments whose entries in the folder a sync has confirmed.
+    entries: BTreeSet<u64>,
     operations: u64,
     fault: Option<(u64, Fault)>,
     full: bool,
@@ -90,14 +92,13 @@
                     inner.synced.insert(segment, synced);
                 }
             }
-            let synced = inner.synced.clone();
+            let (synced, entries) = (inner.synced.clone(), inner.entries.clone());
             let mut gone = Vec::new();
             for (segment, bytes) in &mut inner.segments {
+                if !entries.contains(segment) && draw() == 0 {
+                    gone.push(*segment);
+                }
                 let Some(kept) = synced.get(segment).copied() else {
-                    // Never synced: its entry may not be there.
-                    if draw() == 0 {
-                        gone.push(*segment);
-                    }
                     bytes.iter_mut().for_each(|b| *b = if draw() == 0 { 0 } else { *b });
                     continue;
                 };
@@ -261,7 +262,6 @@
         self.act(false, |inner| {
             let length = inner.segments.get(&segment).ok_or_else(missing)?.len();
             inner.synced.insert(segment, length);
-            inner.removed.clear();
             Ok(())
         })
     }
@@ -269,6 +269,7 @@
     fn sync_folder(&mut self) -> io::Result<()> {
         self.act(false, |inner| {
             inner.removed.clear();
+            inner.entries = inner.segments.keys().copied().collect();
             Ok(())
         })
     }
--- a/tests/site/kills.rs
+++ b/tests/site/kills.rs
@@ -2,7 +2,7 @@
 //! `docs/design/site.md`.
 
 use super::world::*;
-use foldtrack_control::Ask;
+use foldtrack_control::{Ask, Client};
 use foldtrack_standin::books::{judge, Fate};
 use foldtrack_standin::http::{Server, OK};
 use foldtrack_standin::{Conduct, Partner};
@@ -39,7 +39,9 @@
             scope.spawn(|| {
                 sleep(Duration::from_millis(20));
                 // The line may break in the middle of it.
-                if site.client().ask(Ask::Drain { endpoint: "a".into() }).is_ok() {
+                let ordered = Client::connect(&site.socket())
+                    .and_then(|mut c| c.ask(Ask::Drain { endpoint: "a".into() }));
+                if ordered.is_ok() {
                     *told.lock().unwrap() = Some(Instant::now());
                 }
             });
