--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -12,14 +12,14 @@
 use hatchline::settings::Parsed;
 use hatchline::{Class, Decay, Group, ListedRate, Rules, Settings};
 use std::fs::{self, File, OpenOptions, TryLockError};
+use std::hash::{BuildHasher, RandomState};
 use std::io::{Read, Write};
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::SignalKind;
 
-/// Bytes of memory beside the limit on messages that the process itself needs are not counted here; of the disk,
-/// the lock file and the socket are a block each.
+/// What is in the state folder is its owner's alone.
 const STATE_MODE: u32 = 0o700;
 
 /// Serves a site until it is told to end.
@@ -62,9 +62,10 @@
     })
 }
 
-/// Sets this process apart from others that start at the same moment.
+/// A number that sets this process apart from others, and that no client can guess: a journal that begins with it
+/// takes it for its identity.
 fn seed(unix: u64) -> u64 {
-    unix ^ (u64::from(std::process::id()) << 40)
+    RandomState::new().hash_one((unix, std::process::id()))
 }
 
 /// The lock on a state folder, held as long as the file is open: it goes with the process, however that ends.
