Don't rely on a sync that is under way; take up again what a job was not begun for

Read once more: with machine durability, a sync in the loop (a full room forces one) counted the segments of a job that was still running as synced, so that a segment could go before what was carried out of it was on the disk; and it could wait for ever for a removal that only the job would confirm.

Segments of a job stay unconfirmed until it has come back; a sync beside it covers them. The new test fails without the mend.

--- a/crates/ends/src/store.rs
+++ b/crates/ends/src/store.rs
@@ -289,6 +289,11 @@
         Ok(())
     }
 
+    /// What a job was taken for has not been synced: all counts as not synced again.
+    pub fn not_synced(&mut self) {
+        self.dirty.extend(self.shelf.segments.iter().map(|s| s.first));
+    }
+
     /// Sequence number of the last end that is in a file.
     pub fn written(&self) -> u64 {
         self.committed - 1
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -99,6 +99,8 @@
     health: Health,
     /// Segments with bytes that no sync has confirmed; bytes written since the start, and how many of them are synced.
     dirty: BTreeSet<u64>,
+    /// Those that a job is about to confirm: until it has, they are as dirty.
+    under_way: BTreeSet<u64>,
     position: u64,
     synced: u64,
     /// Removals so far, and how many of them are synced: a segment must not come back without those behind it.
@@ -145,6 +147,7 @@
             self.entries_changed = false;
         }
         let segments = std::mem::take(&mut self.dirty);
+        self.under_way.extend(&segments);
         Ok(SyncJob { files, segments, position: self.position, removals: self.removals })
     }
 }
@@ -198,6 +201,7 @@
             waiting: Vec::new(),
             health: Health::Sound,
             dirty: BTreeSet::new(),
+            under_way: BTreeSet::new(),
             position: 0,
             synced: 0,
             removals: 0,
@@ -370,7 +374,8 @@
     /// # Errors
     /// What of it is there is not known: the segment is not trusted again.
     pub fn sync(&mut self) -> io::Result<()> {
-        let segments = std::mem::take(&mut self.dirty);
+        let mut segments = std::mem::take(&mut self.dirty);
+        segments.extend(&self.under_way);
         let position = self.position;
         for number in &segments {
             let there = self.segments.iter().any(|s| s.number == *number);
@@ -379,7 +384,8 @@
                 return Err(error);
             }
         }
-        if self.entries_changed {
+        // A job may have the folder, and not have confirmed it yet.
+        if self.entries_changed || self.removals > self.removals_synced {
             if let Err(error) = self.disk.sync_folder() {
                 self.distrust(&segments);
                 return Err(error);
@@ -397,6 +403,7 @@
     /// # Errors
     /// The sync's, or one of the carrying.
     pub fn synced(&mut self, job: &SyncJob, result: io::Result<()>) -> io::Result<()> {
+        self.under_way.clear();
         match result {
             Ok(()) => {
                 self.synced = self.synced.max(job.position);
--- a/crates/journal/src/journal_tests.rs
+++ b/crates/journal/src/journal_tests.rs
@@ -530,3 +530,34 @@
     let (_, found) = Journal::open_on(model.after_power_cut(1), durable).unwrap();
     assert!(found.keys().copied().eq(1..=5));
 }
+
+/// A sync in the loop while a job is under way confirms what the job has not confirmed yet, and nothing else: it used
+/// to count the job's segments as synced, and to wait for ever for a removal that only the job would confirm.
+#[test]
+fn a_sync_beside_a_job_under_way_does_not_rely_on_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let durable = Options { durable: true, ..options(ROOM) };
+    let (mut journal, _) = Journal::open(folder.path(), durable).unwrap();
+    let mut number = 0;
+    while journal.removals == journal.removals_synced {
+        number += 1;
+        journal.append(number, &accepted(number, 3_000)).unwrap();
+        journal.append(number, &Record::Over).unwrap();
+        journal.step(Instant::now()).unwrap();
+    }
+    let job = journal.sync_job().unwrap();
+    assert!(journal.dirty.is_empty() && !journal.under_way.is_empty());
+    journal.sync().unwrap();
+    assert_eq!((journal.removals, journal.synced), (journal.removals_synced, journal.position));
+    let done = job.run();
+    journal.synced(&job, done).unwrap();
+    assert!(journal.under_way.is_empty());
+    // The room turns over, with a job taken and not run.
+    journal.append(number + 1, &accepted(number + 1, 10)).unwrap();
+    let _job = journal.sync_job().unwrap();
+    for n in number + 2..number + 500 {
+        journal.append(n, &accepted(n, 3_000)).unwrap();
+        journal.append(n, &Record::Over).unwrap();
+    }
+    assert!(journal.length() <= ROOM);
+}
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -50,7 +50,8 @@
             match ends.and_then(|ends| Ok((self.journal.sync_job()?, ends))) {
                 Ok(jobs) => jobs,
                 Err(error) => {
-                    // Out of descriptors: the group waits for the next round.
+                    // Out of descriptors: the group waits for the next round, and so does what was taken for it.
+                    self.site.iter_mut().for_each(|s| s.ends.not_synced());
                     eprintln!("journal: a sync could not be begun: {error}");
                     return;
                 }
