Hold a round's answers and calls until its one write; fill the real process's disk in tests

Cause: with a batch, what rests on a record may not go out before the write at the round's end, and a record that the disk did not take must undo its message or call. The real process had never met a disk that fills.

Change: what waits gathers in one group for the write, as it did for the sync; a call without a record is unmade, so that a restart does not count it. The room of a round's own messages counts before they are written.

--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -42,6 +42,10 @@
         /// The site file
         #[arg(long, default_value = "site.toml")]
         site: PathBuf,
+        /// A rehearsal of a full disk: journal and ends go on as if the state folder could hold no more bytes than this
+        /// file says; it is read again each time that room is wanted
+        #[arg(long, value_name = "FILE")]
+        disk_budget: Option<PathBuf>,
     },
     /// Tells everything that is wrong in a site file
     Check {
@@ -228,9 +232,8 @@
 
 fn run(command: Command) -> Ended {
     match command {
-        Command::Serve { site } => {
-            serve::serve(load(&site)?).map_err(|e| Failure(FAILED, format!("foldtrack: {e}")))
-        }
+        Command::Serve { site, disk_budget } => serve::serve(load(&site)?, disk_budget.as_deref())
+            .map_err(|e| Failure(FAILED, format!("foldtrack: {e}"))),
         Command::Check { site } => {
             let read = load(&site)?;
             let endpoints: usize = read.partners.iter().map(|p| p.endpoints.len()).sum();
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -4,6 +4,7 @@
 use crate::membership::Membership;
 use crate::platform::Agent;
 use foldtrack_ends::Store;
+use foldtrack_journal::Budget;
 use foldtrack_site::Site;
 use hatchline::settings::Parsed;
 use serde::Deserialize;
@@ -19,6 +20,8 @@
     pub sockets: usize,
     pub memory_bytes: usize,
     pub disk_bytes: u64,
+    /// The disk counts as no larger: a rehearsal.
+    pub disk_budget: Option<Budget>,
     pub settings: Parsed,
     pub membership: Box<dyn Membership>,
     /// The platform's taker of notices; none at a site of its own.
@@ -104,6 +107,7 @@
             sockets: file.limits.sockets,
             memory_bytes: (file.limits.memory_mb * 1e6) as usize,
             disk_bytes: disk_bytes as u64,
+            disk_budget: None,
             settings: file.settings,
             membership: Box::new(Agent { discovery: discovery.clone(), known: file.known }),
             discovery: Some(discovery),
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -3,7 +3,7 @@
 use super::appliance::kept;
 use super::{Node, Taken, Waiting};
 use crate::door::CallEnd;
-use crate::targets::{self, Call};
+use crate::targets::Call;
 use foldtrack_control::Failure;
 use foldtrack_ends::{self as ends, Attempt};
 use foldtrack_journal::{Fate, Notice, Record};
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Starts a call; its record stands in the journal before its first byte goes out.
+    /// Starts a call; it goes out once its record stands in the journal.
     pub(super) fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
         let (message, tries) = (held.message.clone(), held.tries);
@@ -91,11 +91,14 @@
         let endpoint =
             if self.site.is_some() { self.targets.name(target).to_string() } else { String::new() };
         let begun = Record::Try { attempt: tries, at, zone, endpoint };
-        if let Err(error) = self.journal.append(number, &begun) {
-            eprintln!("journal: a call is not made: {error}");
-            self.targets.end_call(target);
-            return self.outcome(number, attempt, target, Outcome::NotSent, false);
-        }
+        let ticket = match self.journal.stage(number, &begun) {
+            Ok(ticket) => ticket,
+            Err(error) => {
+                eprintln!("journal: a call is not made: {error}");
+                self.targets.end_call(target);
+                return self.outcome(number, attempt, target, Outcome::NotSent, false);
+            }
+        };
         if let Some(held) = self.messages.get_mut(&number) {
             held.tries += 1;
         }
@@ -114,10 +117,7 @@
             connection: self.idle.take(target),
             reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
         };
-        match &mut self.durable {
-            Some(durable) => durable.gathering.calls.push((call, cancelled)),
-            None => drop(tokio::spawn(targets::call(call, cancelled, self.inputs.clone()))),
-        }
+        self.durable.gathering.calls.push((ticket, call, cancelled));
     }
 
     pub(super) fn outcome(&mut self, id: u64, attempt: u32, target: TargetId, outcome: Outcome, ended: bool) {
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -1,25 +1,27 @@
-//! Group commit: what must be on stable storage before it is said or done waits here for a sync, and thousands share
-//! one. Syncs run off the loop, one at a time; while one runs the next group gathers.
+//! Group commit: what must be in the journal before it is said or done waits here. A round's records are written in one
+//! stroke at its end. Where answers wait for stable storage, thousands share a sync: syncs run off the loop, one at a
+//! time; while one runs the next group gathers.
 
 use super::Node;
 use crate::door::{Answer, CallEnd, Input, Receipt, Synced};
 use crate::targets::{self, Call};
 use foldtrack_ends::Result as EndResult;
 use foldtrack_journal::journal::SyncJob;
-use foldtrack_journal::Record;
+use foldtrack_journal::{Record, Ticket, Unwritten};
 use hatchline::Outcome;
+use std::collections::HashMap;
 use std::fs::File;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-/// What waits for the same sync.
+/// What waits for the same write, or the same sync.
 #[derive(Default)]
 pub(super) struct Group {
     /// Clients who are told that their message is taken on.
-    pub answers: Vec<(u64, oneshot::Sender<Answer>)>,
+    pub answers: Vec<(Ticket, u64, oneshot::Sender<Answer>)>,
     /// Calls whose records must be there before their first byte goes: a payment must not be sent again after a power
     /// cut because nothing tells of the first time.
-    pub calls: Vec<(Call, oneshot::Receiver<()>)>,
+    pub calls: Vec<(Ticket, Call, oneshot::Receiver<()>)>,
     /// Messages whose ends are told, and which the journal then forgets; and the last of these ends.
     pub ended: Vec<(u64, EndResult)>,
     pub last_end: u64,
@@ -31,18 +33,85 @@
     }
 }
 
-/// The state of group commit; `None` in its place means that nothing waits for the disk.
-#[derive(Default)]
+/// The state of group commit.
 pub(super) struct Durable {
+    /// Answers, calls and ends wait for stable storage; if not, for the write alone.
+    pub syncs: bool,
     pub gathering: Group,
     under_way: Option<Group>,
 }
 
+impl Durable {
+    pub fn new(syncs: bool) -> Durable {
+        Durable { syncs, gathering: Group::default(), under_way: None }
+    }
+}
+
 impl Node {
+    /// Writes the round's records in one stroke. What rests on one that could not be written is not said or done; the
+    /// rest goes out, or waits for a sync.
+    pub(super) fn commit_journal(&mut self) {
+        let unwritten = self.journal.commit();
+        if !unwritten.is_empty() {
+            self.undo(unwritten);
+        }
+        if !self.durable.syncs {
+            let group = std::mem::take(&mut self.durable.gathering);
+            self.release(group, true);
+        }
+    }
+
+    /// Guards against a disk that fills in the middle of a round: the messages whose records it did not take are
+    /// refused, and the calls not made, as if nobody had asked.
+    fn undo(&mut self, unwritten: Vec<Unwritten>) {
+        let mut lost: HashMap<Ticket, Unwritten> = unwritten.into_iter().map(|u| (u.ticket, u)).collect();
+        let gathering = &mut self.durable.gathering;
+        let (answers, calls) = (std::mem::take(&mut gathering.answers), std::mem::take(&mut gathering.calls));
+        for (ticket, number, reply) in answers {
+            match lost.remove(&ticket) {
+                Some(Unwritten { error, .. }) => {
+                    eprintln!("journal: a message is refused: {error}");
+                    let _ = reply.send(self.full_answer());
+                    self.withdraw(number);
+                }
+                None => self.durable.gathering.answers.push((ticket, number, reply)),
+            }
+        }
+        for (ticket, call, cancelled) in calls {
+            match lost.remove(&ticket) {
+                Some(Unwritten { error, .. }) => {
+                    eprintln!("journal: a call is not made: {error}");
+                    self.unmake_call(call);
+                }
+                None => self.durable.gathering.calls.push((ticket, call, cancelled)),
+            }
+        }
+        // The others are what a restart can do without.
+        lost.values().for_each(|u| eprintln!("journal: {}", u.error));
+    }
+
+    /// Takes back a call that has no record: for a restart it was never begun, and so it must not be.
+    fn unmake_call(&mut self, call: Call) {
+        let Call { number, attempt, target, connection, .. } = call;
+        self.calls.remove(&(number, attempt));
+        let listed = self.targets.end_call(target);
+        if let Some((connection, _)) = connection.filter(|_| listed) {
+            self.idle.put(target, connection);
+        }
+        if let Some(held) = self.messages.get_mut(&number) {
+            held.tries -= 1;
+            held.history.pop();
+        }
+        self.outcome(number, attempt, target, Outcome::NotSent, false);
+    }
+
     /// Begins a sync for what has gathered, if none runs.
     pub(super) fn begin_sync(&mut self) {
-        let Some(durable) = &mut self.durable else { return };
-        if durable.under_way.is_some() || durable.gathering.is_empty() && !self.journal.wants_sync() {
+        let durable = &mut self.durable;
+        if !durable.syncs
+            || durable.under_way.is_some()
+            || durable.gathering.is_empty() && !self.journal.wants_sync()
+        {
             return;
         }
         let ends = self.site.as_mut().map_or(Ok(Vec::new()), |s| s.ends.sync_job());
@@ -72,10 +141,17 @@
         if let Err(error) = self.journal.synced(&job, result) {
             eprintln!("journal: a sync has failed, its segments are not trusted again: {error}");
         }
-        let Some(group) = self.durable.as_mut().and_then(|d| d.under_way.take()) else { return };
-        for (number, reply) in group.answers {
+        if let Some(group) = self.durable.under_way.take() {
+            self.release(group, sound);
+        }
+    }
+
+    /// Says and does what has waited, or not, where what it rests on may not be there.
+    fn release(&mut self, group: Group, sound: bool) {
+        for (_, number, reply) in group.answers {
             if sound {
                 let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
+                // If the client has gone, the receipt is dropped here and says so.
                 let _ = reply.send(Answer::TakenOn(receipt));
             } else {
                 // It may be there after a power cut or not: the client keeps it, under the same id.
@@ -84,10 +160,12 @@
                 self.withdraw(number);
             }
         }
-        for (call, cancelled) in group.calls {
+        for (_, call, cancelled) in group.calls {
             self.release_call(call, cancelled, sound);
         }
-        self.release_ends(group.ended, group.last_end, sound);
+        if group.last_end > 0 {
+            self.release_ends(group.ended, group.last_end, sound);
+        }
     }
 
     /// Starts a call that has waited, unless its time is over, it was called off, or its target was closed.
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -19,7 +19,7 @@
 impl Node {
     /// Writes what a restart can do without: lacking it, more counts as perhaps run than has.
     pub(super) fn record(&mut self, number: u64, record: &Record) {
-        if let Err(error) = self.journal.append(number, record) {
+        if let Err(error) = self.journal.stage(number, record) {
             eprintln!("journal: {error}");
         }
     }
@@ -138,18 +138,8 @@
             Ok(()) => {
                 site.behind_told = 0;
                 let (ended, last) = (std::mem::take(&mut site.ended), site.ends.written());
-                if let Some(durable) = &mut self.durable {
-                    durable.gathering.ended.extend(ended);
-                    durable.gathering.last_end = last;
-                    return;
-                }
-                site.ends.release(last);
-                site.ends_seen.send_replace(last);
-                for (number, _) in ended {
-                    if let Err(error) = self.journal.over_soon(number) {
-                        eprintln!("journal: {error}");
-                    }
-                }
+                self.durable.gathering.ended.extend(ended);
+                self.durable.gathering.last_end = last;
             }
             Err(error) => {
                 eprintln!("ends: {} are not written yet: {error}", site.ended.len());
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -1,7 +1,7 @@
 //! Messages come in: refused, or taken on, first in the journal and then in the answer.
 
 use super::{Held, Node, Taken, Waiting};
-use crate::door::{Answer, Receipt};
+use crate::door::Answer;
 use crate::message::Message;
 use crate::table::Known;
 use foldtrack_ends::Result as EndResult;
@@ -26,7 +26,7 @@
             return;
         }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
-        if full || !self.journal.has_room(message.size()) {
+        if full || !self.journal.has_room(self.fresh_bytes + message.size()) {
             let _ = reply.send(self.full_answer());
             return;
         }
@@ -48,10 +48,12 @@
         if let Some(site) = &mut self.site {
             site.hold(&message);
         }
+        let held_size = message.size();
         let (since, history) = (self.clock.unix(self.clock.now()), Vec::new());
         let taken = Taken::Fresh(reply);
         self.messages
             .insert(id, Held { message, taken, since, history, attempts: 0, tries: 0, waiting: None });
+        self.fresh_bytes += held_size;
         self.fresh.push(id);
         self.handle(event);
     }
@@ -74,6 +76,7 @@
 
     /// Takes on what the module has not refused: first the journal, then the answer.
     pub(super) fn answer_clients(&mut self) {
+        self.fresh_bytes = 0;
         for number in std::mem::take(&mut self.fresh) {
             let Some(held) = self.messages.get_mut(&number) else { continue };
             let Taken::Fresh(reply) = std::mem::replace(&mut held.taken, Taken::Answering) else { continue };
@@ -92,19 +95,14 @@
                 Some(_) => Record::AcceptedAt { at: held.since, accepted },
                 None => Record::Accepted(accepted),
             };
-            if let Err(error) = self.journal.append(number, &accepted) {
-                eprintln!("journal: a message is refused: {error}");
-                let _ = reply.send(self.full_answer());
-                self.withdraw(number);
-                continue;
+            match self.journal.stage(number, &accepted) {
+                Ok(ticket) => self.durable.gathering.answers.push((ticket, number, reply)),
+                Err(error) => {
+                    eprintln!("journal: a message is refused: {error}");
+                    let _ = reply.send(self.full_answer());
+                    self.withdraw(number);
+                }
             }
-            if let Some(durable) = &mut self.durable {
-                durable.gathering.answers.push((number, reply));
-                continue;
-            }
-            let receipt = Receipt { number, inputs: self.inputs.clone(), written: false };
-            // If the client has gone, the receipt is dropped here and says so.
-            let _ = reply.send(Answer::TakenOn(receipt));
         }
     }
 
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -24,7 +24,7 @@
 use crate::table::{Ids, Targets};
 use appliance::{Appliance, LONGEST_NAME};
 use foldtrack_ends::Attempt;
-use foldtrack_journal::{Journal, Options};
+use foldtrack_journal::{Folder, Journal, Options};
 use hatchline::settings::Parsed;
 use hatchline::{Action, Brain, Endpoint, EndpointState, Event, ListKind, Micros, TargetId};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -98,8 +98,8 @@
     discovery: Option<watch::Sender<SocketAddr>>,
     /// What a site of its own has in its place.
     site: Option<Box<Appliance>>,
-    /// Where answers wait for stable storage.
-    durable: Option<durable::Durable>,
+    /// What waits for the journal.
+    durable: durable::Durable,
     /// A picture for people that is being made.
     scan: picture::Scan,
     /// Lists taken in. Their own versions begin anew where discovery moves.
@@ -109,6 +109,8 @@
     messages: BTreeMap<u64, Held>,
     /// Those of this round whose clients wait for an answer.
     fresh: Vec<u64>,
+    /// Bytes of these, which the journal does not know of yet.
+    fresh_bytes: usize,
     notices: Notices,
     /// Those whose send has been decided on, but has not gone yet.
     waiting: BTreeSet<u64>,
@@ -142,7 +144,8 @@
         durable: config.durable,
         identity: config.seed,
     };
-    let (journal, restored) = Journal::open(&config.state, options)?;
+    let disk = Folder::new(&config.state)?.within(config.disk_budget);
+    let (journal, restored) = Journal::open_on(disk, options)?;
     // Numbers of messages that are over may stand in kept ends: none is used twice.
     let highest = journal.highest().max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
@@ -159,12 +162,13 @@
         membership: config.membership,
         discovery: config.discovery,
         site: site.map(Box::new),
-        durable: config.durable.then(durable::Durable::default),
+        durable: durable::Durable::new(config.durable),
         scan: picture::Scan::default(),
         lists: 0,
         next_number: highest + 1,
         messages: BTreeMap::new(),
         fresh: Vec::new(),
+        fresh_bytes: 0,
         notices: Notices::default(),
         waiting: BTreeSet::new(),
         calls: BTreeMap::new(),
@@ -233,6 +237,7 @@
         }
         self.answer_clients();
         self.commit_ends();
+        self.commit_journal();
         self.step_journal();
         self.begin_sync();
         self.step_scan();
@@ -336,7 +341,9 @@
     }
 
     fn wake_at(&self) -> Instant {
-        if self.scan.is_running() || self.journal.is_owing() && !self.journal.wants_sync() {
+        // What was told to the module after it had decided is carried out at once, not with whatever happens next.
+        let undone = !self.actions.is_empty();
+        if undone || self.scan.is_running() || self.journal.is_owing() && !self.journal.wants_sync() {
             return Instant::now();
         }
         let timer = self.timers.first().map(|(at, _)| self.clock.instant(*at));
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -7,6 +7,7 @@
 use crate::{runtime, serve_until_told};
 use foldtrack_ends::shelf::Bounds;
 use foldtrack_ends::Store;
+use foldtrack_journal::Budget;
 use foldtrack_membership::{Listed, Log, SiteList};
 use foldtrack_site::{Durability, Effect, Site, MOST_ENDPOINTS};
 use hatchline::settings::Parsed;
@@ -26,7 +27,7 @@
 ///
 /// # Errors
 /// What stands in the way, with the file or field that it is about.
-pub(crate) fn serve(site: Site) -> Result<(), String> {
+pub(crate) fn serve(site: Site, disk_budget: Option<&Path>) -> Result<(), String> {
     fs::DirBuilder::new()
         .recursive(true)
         .mode(STATE_MODE)
@@ -39,7 +40,12 @@
         eprintln!("membership: {told}");
     }
     let bounds = Bounds { count: site.ends.count, size: site.ends.size, age: site.ends.age };
-    let ends = Store::open(&site.state.join("ends"), bounds).map_err(|e| e.to_string())?;
+    let budget = disk_budget.map(|limit| Budget::new(&site.state, limit));
+    if let Some(budget) = &budget {
+        budget.limit().map_err(|e| e.to_string())?;
+    }
+    let ends =
+        Store::open(&site.state.join("ends"), bounds).map_err(|e| e.to_string())?.within(budget.clone());
     let socket = control::bind(&site.control_socket())?;
     let (inputs, receiver) = door::channel();
     let config = Config {
@@ -49,6 +55,7 @@
         sockets: site.limits.descriptors,
         memory_bytes: site.limits.memory as usize,
         disk_bytes: site.journal_room(),
+        disk_budget: budget,
         settings: settings(&site),
         membership: Box::new(SiteMembership::new(log, site.clone())),
         discovery: None,
--- a/tests/site/kills.rs
+++ b/tests/site/kills.rs
@@ -84,19 +84,85 @@
 }
 
 fn killed_under_load(durability: &'static str) {
-    let conduct = Conduct { resets: 0.02, errors: 0.02, ..Conduct::default() };
-    let partner = Partner::start(7, conduct);
+    let (site, partner) = small_site(durability, false);
+    under_load(site, partner, kills(8), 0, |site, feed, round| {
+        sleep(Duration::from_micros(fastrand::u64(50_000..300_000)));
+        if round % 2 == 0 {
+            // Killed between the fetch and the acknowledgement that the next one brings.
+            feed.fetch(site, 50);
+        }
+        site.kill();
+        site.start_again();
+    });
+}
+
+/// The disk fills again and again under load, at whatever moment the journal and the ends are in, and has room again
+/// without a restart; now and then the process is killed on the full disk, and comes up on it. What is held goes on.
+#[test]
+fn a_disk_that_fills_under_load_loses_nothing_and_is_noticed_when_it_has_room_again() {
+    full_under_load("process");
+}
+
+#[test]
+fn nor_does_it_where_every_answer_waits_for_the_disk() {
+    full_under_load("machine");
+}
+
+fn full_under_load(durability: &'static str) {
+    let (site, partner) = small_site(durability, true);
+    let refusals = AtomicUsize::new(0);
+    let refused = under_load(site, partner, kills(8), 3_000, |site, feed, round| {
+        sleep(Duration::from_millis(fastrand::u64(20..150)));
+        // From nothing at all up to two segments more than there is.
+        site.set_budget(site.taken() + fastrand::u64(0..250_000) * u64::from(round % 3 != 0));
+        let mut tries = 0;
+        eventually("the full disk refuses", || {
+            tries += 1;
+            site.post("note", "", &format!("probe-{round}-{tries}"), &"x".repeat(3_000)).0 != 202
+        });
+        sleep(Duration::from_millis(fastrand::u64(0..300)));
+        refusals.fetch_add(1, Ordering::SeqCst);
+        if round % 4 == 1 {
+            site.kill();
+            site.start_again();
+        }
+        feed.fetch(site, 200);
+        site.set_budget(u64::MAX >> 1);
+        let mut tries = 0;
+        eventually("it takes messages on again", || {
+            tries += 1;
+            site.post("note", "", &format!("again-{round}-{tries}"), "x").0 == 202
+        });
+    });
+    assert!(refused > refusals.load(Ordering::SeqCst), "the load met the full disk: {refused}");
+}
+
+/// A site whose journal compacts all the time, with a partner that fails some calls.
+fn small_site(durability: &'static str, budget: bool) -> (Site, Partner) {
+    let partner = Partner::start(7, Conduct { resets: 0.02, errors: 0.02, ..Conduct::default() });
     let mut plan = Plan::of(&[("p", "a", partner.address())]);
-    // A small room: the journal compacts all the time.
     plan.limits = "messages = 2000\ndisk = \"16MiB\"";
     plan.ends = "size = \"8MiB\"";
     plan.durability = durability;
-    let mut site = Site::start(&plan);
-    let (taken, stop, next) = (Mutex::new(BTreeSet::new()), AtomicBool::new(false), AtomicUsize::new(0));
-    let mut ends: BTreeMap<u64, (String, String)> = BTreeMap::new();
-    // Fetches and acknowledges some ends, as a client does; what comes twice must be the same.
-    let mut fetch = |site: &Site, after: &mut u64, most: u32| {
-        let (status, told) = site.get(&format!("/v1/ends?after={after}&most={most}&wait_ms=0"));
+    let mut site = Site::prepared(&plan);
+    if budget {
+        site.set_budget(u64::MAX >> 1);
+    }
+    site.start_again();
+    (site, partner)
+}
+
+/// What a client has fetched and acknowledged.
+#[derive(Default)]
+struct Feed {
+    ends: BTreeMap<u64, (String, String)>,
+    after: u64,
+}
+
+impl Feed {
+    /// Fetches and acknowledges some ends, as a client does; what comes twice must be the same.
+    fn fetch(&mut self, site: &Site, most: u32) -> usize {
+        let (status, told) = site.get(&format!("/v1/ends?after={}&most={most}&wait_ms=0", self.after));
         if status != 200 {
             return 0;
         }
@@ -104,13 +170,21 @@
         for line in &lines {
             let word = |name: &str| line[name].as_str().unwrap().to_string();
             let (cursor, end) = (line["cursor"].as_u64().unwrap(), (word("id"), word("state")));
-            assert!(ends.insert(cursor, end.clone()).is_none_or(|before| before == end), "{end:?}");
-            *after = cursor;
+            assert!(self.ends.insert(cursor, end.clone()).is_none_or(|before| before == end), "{end:?}");
+            self.after = cursor;
         }
         lines.len()
-    };
-    let listen = site.listen;
-    let mut after = 0;
+    }
+}
+
+/// Four clients hand messages in while trouble comes in rounds; then every message that was taken on must have one end
+/// and a true one. Gives how many were refused with a wait.
+fn under_load(
+    mut site: Site, partner: Partner, rounds: usize, filler: usize,
+    mut trouble: impl FnMut(&mut Site, &mut Feed, usize),
+) -> usize {
+    let (taken, stop, next) = (Mutex::new(BTreeSet::new()), AtomicBool::new(false), AtomicUsize::new(0));
+    let (mut feed, listen, refused) = (Feed::default(), site.listen, AtomicUsize::new(0));
     scope(|scope| {
         for _ in 0..4 {
             scope.spawn(|| {
@@ -123,30 +197,28 @@
                     } else {
                         format!("key={key};seq={n};class=update;")
                     };
+                    let body = body + &"x".repeat(filler);
                     let bytes = letter("p", class, &key, &format!("m{n}"), &body);
-                    if exchange(listen, &bytes).is_some_and(|a| a.starts_with("HTTP/1.1 202")) {
+                    let answer = exchange(listen, &bytes).unwrap_or_default().to_lowercase();
+                    if answer.starts_with("http/1.1 202") {
                         taken.lock().unwrap().insert(format!("m{n}"));
                     }
+                    let told = answer.starts_with("http/1.1 503") && answer.contains("retry-after: ");
+                    refused.fetch_add(usize::from(told), Ordering::SeqCst);
                     sleep(Duration::from_millis(1));
                 }
             });
         }
-        for round in 0..kills(8) {
-            sleep(Duration::from_micros(fastrand::u64(50_000..300_000)));
-            if round % 2 == 0 {
-                // Killed between the fetch and the acknowledgement that the next one brings.
-                fetch(&site, &mut after, 50);
-            }
-            site.kill();
-            site.start_again();
+        for round in 0..rounds {
+            trouble(&mut site, &mut feed, round);
         }
         stop.store(true, Ordering::SeqCst);
     });
     eventually("everything has ended", || site.status().held == 0);
-    while fetch(&site, &mut after, 500) > 0 {}
+    while feed.fetch(&site, 500) > 0 {}
     let taken = taken.into_inner().unwrap();
     let mut by_id: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-    ends.values().for_each(|(id, state)| by_id.entry(id).or_default().push(state));
+    feed.ends.values().for_each(|(id, state)| by_id.entry(id).or_default().push(state));
     for id in &taken {
         assert_eq!(by_id.get(id.as_str()).map(Vec::len), Some(1), "{id}: {:?}", by_id.get(id.as_str()));
     }
@@ -175,4 +247,5 @@
     }
     println!("{} taken on, ends {counts:?}, effects {}", taken.len(), verdict.effects);
     assert!(counts["delivered"] > taken.len() / 2);
+    refused.into_inner()
 }
--- a/tests/site/world.rs
+++ b/tests/site/world.rs
@@ -59,14 +59,18 @@
 
 impl Site {
     pub fn start(plan: &Plan) -> Site {
-        let (listen, folder) = (own_address(), tempfile::tempdir().unwrap());
-        let site = Site { listen, child: idle(), folder };
-        site.write(plan);
-        let mut site = site;
+        let mut site = Site::prepared(plan);
         site.start_again();
         site
     }
 
+    /// A site that is not running yet.
+    pub fn prepared(plan: &Plan) -> Site {
+        let site = Site { listen: own_address(), child: idle(), folder: tempfile::tempdir().unwrap() };
+        site.write(plan);
+        site
+    }
+
     pub fn write(&self, plan: &Plan) {
         let state = self.state();
         std::fs::write(self.file(), plan.text(self.listen, state.to_str().unwrap())).unwrap();
@@ -76,6 +80,34 @@
         self.folder.path().join("site.toml")
     }
 
+    /// How large the disk is for a site that has been started with this file.
+    pub fn budget_file(&self) -> PathBuf {
+        self.folder.path().join("disk-budget")
+    }
+
+    /// The disk is so large from now on.
+    pub fn set_budget(&self, bytes: u64) {
+        // In one step: half a number would be another.
+        let next = self.folder.path().join("disk-budget.next");
+        std::fs::write(&next, bytes.to_string()).unwrap();
+        std::fs::rename(next, self.budget_file()).unwrap();
+    }
+
+    /// Bytes that the files of the state folder take, what is set aside for them included.
+    pub fn taken(&self) -> u64 {
+        fn of(folder: &std::path::Path) -> u64 {
+            use std::os::unix::fs::MetadataExt;
+            let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
+            let size = |e: std::fs::DirEntry| match e.metadata() {
+                Ok(m) if m.is_dir() => of(&e.path()),
+                Ok(m) => (m.blocks() * 512).max(m.len()),
+                Err(_) => 0,
+            };
+            entries.map(size).sum()
+        }
+        of(&self.state())
+    }
+
     pub fn state(&self) -> PathBuf {
         self.folder.path().join("state")
     }
@@ -91,6 +123,9 @@
     pub fn spawn(&mut self) {
         let mut command = Command::new(PROGRAM);
         command.args(["serve", "--site"]).arg(self.file()).env_clear().stderr(Stdio::inherit());
+        if self.budget_file().exists() {
+            command.arg("--disk-budget").arg(self.budget_file());
+        }
         self.child = command.spawn().unwrap();
     }
 
