Don't count a wait or silence as failed calls

Cause: a destination shut for a wait or for silence began with the sum of an outage, so that one failure after it was a second verdict; three were needed before the verdict by evidence.

--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -135,7 +135,7 @@
     /// It was found to be out: from now on there are few calls, and few answers take the verdict back.
     pub fn found_out(&mut self) {
         self.rate_before = self.rate;
-        (self.walk, self.rate) = (self.walk.clamp(STEPS, STEPS + KEPT_BEYOND), self.rate.min(FEW));
+        (self.walk, self.rate) = (self.walk.min(STEPS + KEPT_BEYOND), self.rate.min(FEW));
     }
 
     /// How many times more calls there were than few when it was found to be out.
--- a/src/evidence_tests.rs
+++ b/src/evidence_tests.rs
@@ -54,6 +54,18 @@
     assert!(evidence.is_out(5 * SECOND + 20_000));
 }
 
+/// A destination that is shut for another reason, a wait or silence, has no failures to its account for it.
+#[test]
+fn being_found_out_is_no_failure() {
+    let mut evidence = Evidence::default();
+    evidence.found_out();
+    evidence.failed(1_000, 2_000);
+    assert!(!evidence.is_out(2_000));
+    evidence.failed(3_000, 4_000);
+    evidence.failed(5_000, 6_000);
+    assert!(evidence.is_out(6_000));
+}
+
 /// No sequence locks it: after whatever came, a few answers take the verdict back.
 #[test]
 fn a_few_answers_take_any_verdict_back() {
