Don't tell as given up what an earlier hand-in may have done

Cause, found on reading the change again: a message that was handed back and may have run, taken on again and withdrawn where it was to go, was told as given_up, which says that it surely has had no effect; only this hand-in's attempts were looked at.

Change: with an earlier harmless_until it ends in_doubt. At a site alone; the platform has no such ends. Measured: the test told given_up without it.

--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -65,6 +65,8 @@
                 self.handed_back(&held, told)
             }
             Notice::GivenUp if held.history.iter().any(|a| !a.outcome.never_ran()) => EndResult::InDoubt,
+            // An attempt of an earlier hand-in may have run.
+            Notice::GivenUp if self.harmless_until(&held.message.id).is_some() => EndResult::InDoubt,
             Notice::GivenUp => EndResult::GivenUp,
         };
         self.keep_end(number, held, result);
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -409,7 +410,10 @@
 fn what_may_have_run_is_taken_on_again_only_while_its_partner_remembers_it() {
     for (remembered, memory, late) in [("20s", 20_000_000, false), ("4s", 4_000_000, true)] {
         // The first call takes effect and its connection ends without an answer; then its partner is paused.
-        let server = Server::start(|request| match request.id() {
+        let withdrawn = Arc::new(AtomicBool::new(false));
+        let seen = withdrawn.clone();
+        let server = Server::start(move |request| match request.id() {
+            "u1" if seen.load(Ordering::SeqCst) => Reply::Status(410, ""),
             "u1" => Reply::Close,
             _ => OK,
         });
@@ -444,9 +448,13 @@
         site.start_again();
         site.order(Ask::Resume { partner: Some("p".into()), endpoint: None });
         eventually("the house is empty", || site.status().held == 0);
+        withdrawn.store(true, Ordering::SeqCst);
         assert_eq!(site.post("update", "k", "u1", "x").0, if late { 409 } else { 202 });
         if !late {
             assert!(site.message("u1").unwrap().expires <= until, "it goes out no later than that");
+            // Withdrawn there: this attempt has not run, but the first hand-in's may have.
+            eventually("it is withdrawn", || site.state_of("u1") != "held");
+            assert_eq!(site.state_of("u1"), "in_doubt");
         }
     }
 }
