--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod http;
 mod partner;
 
-pub use partner::{Conduct, Partner};
+pub use partner::{Conduct, Kind, Partner};
 
 use std::time::{Duration, Instant};
 
--- a/crates/standin/src/partner.rs
+++ b/crates/standin/src/partner.rs
@@ -8,6 +8,24 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// How a call fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The connection ends, and nothing took effect.
+    ResetBefore,
+    /// The connection ends after the call took effect.
+    ResetAfter,
+    /// Answered 500 without an effect.
+    Error,
+    /// It takes effect, and is answered a second late.
+    Late,
+    /// Turned away as full, without a wait.
+    Full,
+}
+
+/// How much later a call of [`Kind::Late`] is answered.
+const LATE: Duration = Duration::from_secs(1);
+
 /// How a partner behaves.
 #[derive(Clone, Debug)]
 pub struct Conduct {
@@ -17,6 +35,12 @@
     pub rate: Option<f64>,
     /// The wait that it tells.
     pub wait: Duration,
+    /// Share of calls that fail by one of `kinds`, each as often, 0 to 1.
+    pub failing: f64,
+    /// See `failing`.
+    pub kinds: Vec<Kind>,
+    /// Calls that it works on at once; further ones wait for their turn. 0 for all.
+    pub at_once: usize,
     /// Share of calls that are answered with an error before they take effect, 0 to 1.
     pub errors: f64,
     /// Share of calls whose connection ends without an answer, after they took effect.
@@ -35,6 +59,9 @@
             answers: (Duration::from_millis(2), Duration::from_millis(10)),
             rate: None,
             wait: Duration::from_millis(300),
+            failing: 0.0,
+            kinds: Vec::new(),
+            at_once: 0,
             errors: 0.0,
             resets: 0.0,
             silent: false,
@@ -61,6 +88,8 @@
     cold_since: Option<Instant>,
     /// Calls that have come while it is cold.
     came: VecDeque<Instant>,
+    /// When each of the calls that it works on will be done.
+    works_until: Vec<Instant>,
 }
 
 /// A partner on a loopback port of its own.
@@ -87,6 +116,7 @@
             keys: HashMap::new(),
             cold_since: None,
             came: VecDeque::new(),
+            works_until: Vec::new(),
         }));
         let shared = state.clone();
         let server = Server::start_forgetful(move |request| locked(&shared).call(request));
@@ -155,6 +185,14 @@
         if self.random.f64() < self.conduct.errors {
             return (Fate::Failed, Reply::Status(500, ""));
         }
+        let failing = self.random.f64() < self.conduct.failing && !self.conduct.kinds.is_empty();
+        let kind = failing.then(|| self.conduct.kinds[self.random.usize(0..self.conduct.kinds.len())]);
+        match kind {
+            Some(Kind::ResetBefore) => return (Fate::Failed, Reply::Close),
+            Some(Kind::Error) => return (Fate::Failed, Reply::Status(500, "")),
+            Some(Kind::Full) => return (Fate::Full, Reply::Status(503, "")),
+            Some(Kind::ResetAfter | Kind::Late) | None => {}
+        }
         let remembers = self.conduct.remembers;
         self.keys.retain(|_, at| now.saturating_duration_since(*at) < remembers);
         let key = request.headers.get("idempotency-key").cloned();
@@ -166,14 +204,28 @@
         if self.conduct.silent {
             return (if repeat { Fate::Repeat } else { Fate::Swallowed }, Reply::Silence);
         }
-        if self.random.f64() < self.conduct.resets {
+        if kind == Some(Kind::ResetAfter) || self.random.f64() < self.conduct.resets {
             return (if repeat { Fate::Repeat } else { Fate::Swallowed }, Reply::Close);
         }
         let (least, most) = self.conduct.answers;
         let took = least + (most - least).mul_f64(self.random.f64());
+        let took = if kind == Some(Kind::Late) { took + LATE } else { took };
+        let took = took + self.turn(now, took);
         (if repeat { Fate::Repeat } else { Fate::Took }, Reply::Later(took, 200))
     }
 
+    /// How long a call waits until one of those that are worked on is done.
+    fn turn(&mut self, now: Instant, took: Duration) -> Duration {
+        if self.conduct.at_once == 0 {
+            return Duration::ZERO;
+        }
+        self.works_until.resize(self.conduct.at_once, now);
+        let Some(first) = self.works_until.iter_mut().min() else { return Duration::ZERO };
+        let begins = now.max(*first);
+        *first = begins + took;
+        begins - now
+    }
+
     /// Whether what has come lately is more than a cold partner stands.
     fn is_pushed_over(&mut self, now: Instant) -> bool {
         let Some(since) = self.cold_since else { return false };
@@ -225,6 +277,35 @@
         assert_eq!(books.waits.len(), 1);
     }
 
+    #[test]
+    fn calls_fail_by_the_kinds_that_are_stated_and_queue_beyond_what_is_worked_on() {
+        let all = |kind| Conduct { failing: 1.0, kinds: vec![kind], ..Conduct::default() };
+        for (kind, answer, fate) in [
+            (Kind::ResetBefore, "", Fate::Failed),
+            (Kind::ResetAfter, "", Fate::Swallowed),
+            (Kind::Error, "HTTP/1.1 500", Fate::Failed),
+            (Kind::Late, "HTTP/1.1 200", Fate::Took),
+            (Kind::Full, "HTTP/1.1 503", Fate::Full),
+        ] {
+            let partner = Partner::start(1, all(kind));
+            let told = call(&partner, "a");
+            assert!(told.starts_with(answer) && told.is_empty() == answer.is_empty(), "{kind:?}: {told}");
+            assert_eq!(partner.books().calls[0].fate, fate, "{kind:?}");
+        }
+        let answers = (Duration::from_millis(80), Duration::from_millis(80));
+        let partner = Partner::start(1, Conduct { at_once: 1, answers, ..Conduct::default() });
+        std::thread::scope(|scope| {
+            (0..3).for_each(|n| {
+                drop(scope.spawn({
+                    let partner = &partner;
+                    move || call(partner, &n.to_string())
+                }))
+            })
+        });
+        let ends: Vec<Instant> = partner.books().calls.iter().map(|c| c.until).collect();
+        assert!(ends.windows(2).all(|w| w[1] - w[0] >= Duration::from_millis(80)), "one after another");
+    }
+
     #[test]
     fn a_cold_partner_that_is_pushed_falls_over_and_stays_down() {
         let partner = Partner::start(1, Conduct { capacity: 10.0, ..Conduct::default() });
--- a/src/bin/foldtrack/cli/demo.rs
+++ b/src/bin/foldtrack/cli/demo.rs
@@ -4,13 +4,13 @@
 use super::{say, show, Ended, Failure, FAILED};
 use clap::Args;
 use foldtrack_control::{Ask, Client, Partner as Shown, Status, Told};
+use foldtrack_load::exchange::{post, Exchange};
+use foldtrack_load::forwarder::{Forwarder, Listed};
 use foldtrack_standin::books::{judge, Books, Fate};
 use foldtrack_standin::{Conduct, Partner};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, IsTerminal, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
-use std::process::{Child, Command};
+use std::io::{IsTerminal, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::thread::{scope, sleep};
@@ -52,32 +52,10 @@
     }
 }
 
-fn site_file(partners: &[(&str, SocketAddr)], listen: SocketAddr, state: &Path) -> String {
-    let mut text = format!(
-        "[site]\nname = \"demo\"\nlisten = \"{listen}\"\nstate = {state:?}\n\n\
-         [class.update]\neffect = \"keyed\"\nremembered = \"20s\"\nordered = true\naim = \"3s\"\ndeadline = \"24s\"\n\n\
-         [class.payment]\neffect = \"once\"\naim = \"3s\"\ndeadline = \"24s\"\nworth = 3\n\n\
-         [class.notice]\neffect = \"repeatable\"\naim = \"3s\"\ndeadline = \"24s\"\n"
-    );
-    for (name, address) in partners {
-        text += &format!("\n[partner.{name}]\n");
-        if *name == "limited" {
-            text += "rate = \"60 msgs/s\"\n";
-        }
-        text += &format!("[partner.{name}.endpoint.{name}-1]\naddress = \"{address}\"\n");
-    }
-    text
-}
-
-/// The forwarder's process, which ends with the demo.
-struct Forwarder(Child);
-
-impl Drop for Forwarder {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
+/// Classes of the demo's site.
+const CLASSES: &str = "[class.update]\neffect = \"keyed\"\nremembered = \"20s\"\nordered = true\naim = \"3s\"\ndeadline = \"24s\"\n\
+    [class.payment]\neffect = \"once\"\naim = \"3s\"\ndeadline = \"24s\"\nworth = 3\n\
+    [class.notice]\neffect = \"repeatable\"\naim = \"3s\"\ndeadline = \"24s\"\n";
 
 #[derive(Default)]
 struct Sent {
@@ -90,22 +68,23 @@
 
 pub(super) fn demo(demo: &Demo) -> Ended {
     let told = |what: &str, e: &dyn std::fmt::Display| Failure(FAILED, format!("{what}: {e}"));
-    let folder = tempfile::tempdir().map_err(|e| told("a folder", &e))?;
     let partners: Vec<(&str, Partner)> = PARTNERS
         .iter()
         .enumerate()
         .map(|(n, (name, ..))| (*name, Partner::start(demo.seed + n as u64, conduct(name))))
         .collect();
-    let listen = free_address().map_err(|e| told("a port", &e))?;
-    let addresses: Vec<(&str, SocketAddr)> = partners.iter().map(|(name, p)| (*name, p.address())).collect();
-    let (file, state) = (folder.path().join("site.toml"), folder.path().join("state"));
-    let text = site_file(&addresses, listen, &state);
-    std::fs::write(&file, text).map_err(|e| told("the site file", &e))?;
+    let listed: Vec<Listed> = partners
+        .iter()
+        .map(|(name, p)| Listed {
+            name: name.to_string(),
+            address: p.address(),
+            rate: (*name == "limited").then_some(60.0),
+        })
+        .collect();
     let program = std::env::current_exe().map_err(|e| told("this program", &e))?;
-    let mut command = Command::new(program);
-    command.args(["serve", "--site"]).arg(&file).stdin(std::process::Stdio::null());
-    let _forwarder = Forwarder(command.spawn().map_err(|e| told("the forwarder", &e))?);
-    let mut client = connect(&state.join(foldtrack_site::CONTROL_SOCKET), listen)?;
+    let forwarder = Forwarder::start(&program, "demo", &listed, CLASSES).map_err(|e| Failure(FAILED, e))?;
+    let listen = forwarder.listen;
+    let mut client = forwarder.control().map_err(|e| Failure(FAILED, e))?;
 
     say(&format!(
         "{} messages at {} a second to four partners, through a forwarder at {listen}:\n",
@@ -145,28 +124,11 @@
     conclude(&status, &lines, &ends, &books, &sent, start.elapsed())
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
-}
-
-fn connect(socket: &Path, listen: SocketAddr) -> Result<Client, Failure> {
-    let by = Instant::now() + PATIENCE;
-    loop {
-        if TcpStream::connect(listen).is_ok() {
-            return Ok(Client::connect(socket)?);
-        }
-        if Instant::now() > by {
-            return Err(Failure(FAILED, format!("the forwarder is not ready within {PATIENCE:?}")));
-        }
-        sleep(Duration::from_millis(20));
-    }
-}
-
 /// One client: a connection that is kept, one message at a time. Messages of a key come from one client, in their
 /// order, and each goes to one partner.
 fn hand_in(worker: u64, demo: &Demo, listen: SocketAddr, start: Instant, sent: &Sent) {
     let mut random = fastrand::Rng::with_seed(demo.seed.wrapping_add(1000 + worker));
-    let mut stream: Option<BufReader<TcpStream>> = None;
+    let mut kept = Exchange::new(listen, PATIENCE);
     let mut turns: BTreeMap<String, u64> = BTreeMap::new();
     for n in (worker..demo.messages).step_by(CLIENTS) {
         let due = start + Duration::from_secs_f64(n as f64 / demo.rate as f64);
@@ -188,12 +150,8 @@
             (format!("/{class}"), format!("class={class};"))
         };
         let id = format!("demo-{n}");
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: demo\r\nX-Request-Id: {id}\r\nX-Partner: {partner}\r\n\
-             Idempotency-Key: {id}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        match exchange(&mut stream, listen, request.as_bytes()) {
+        let request = post(&path, &format!("X-Partner: {partner}\r\nIdempotency-Key: {id}\r\n"), &id, &body);
+        match kept.ask(&request, true).map(|answer| answer.status) {
             Some(202) => drop(locked(&sent.taken).insert(id, class)),
             Some(503) => drop(sent.refused.fetch_add(1, Ordering::SeqCst)),
             _ => drop(sent.failed.fetch_add(1, Ordering::SeqCst)),
@@ -205,38 +163,6 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-fn exchange(kept: &mut Option<BufReader<TcpStream>>, to: SocketAddr, request: &[u8]) -> Option<u16> {
-    for _ in 0..2 {
-        let mut stream = match kept.take() {
-            Some(stream) => stream,
-            None => {
-                let stream = TcpStream::connect(to).ok()?;
-                stream.set_nodelay(true).and_then(|()| stream.set_read_timeout(Some(PATIENCE))).ok()?;
-                BufReader::new(stream)
-            }
-        };
-        if stream.get_mut().write_all(request).is_err() {
-            continue;
-        }
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            if stream.read_line(&mut head).is_ok_and(|n| n > 0) {
-                continue;
-            }
-            // Closed between two requests: once more, on a new one, under the same id.
-            break;
-        }
-        if !head.ends_with("\r\n\r\n") {
-            continue;
-        }
-        if !head.to_lowercase().contains("connection: close") {
-            *kept = Some(stream);
-        }
-        return head.split(' ').nth(1)?.parse().ok();
-    }
-    None
-}
-
 /// Shows what happens until everything has ended.
 fn watch(client: &mut Client, sent: &Sent, messages: u64) -> Result<(Status, Vec<Shown>), Failure> {
     let live = std::io::stdout().is_terminal();
--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod ends;
 mod journal;
+mod load;
 mod orders;
 mod send;
 mod show;
@@ -141,6 +142,9 @@
     Journal(journal::Journal),
     /// Shows the main job: a forwarder among failing partners, and the rules checked from their books
     Demo(demo::Demo),
+    /// Messages at a stated rate to stand-in partners with stated failures, and what became of them
+    #[command(subcommand)]
+    Load(load::Load),
     /// Ends the forwarder; what it holds is taken up at its next start
     Stop(Asked),
 }
@@ -259,6 +263,7 @@
         Command::Ends(words) => ends::ends(&words),
         Command::Journal(words) => journal::journal(&words),
         Command::Demo(words) => demo::demo(&words),
+        Command::Load(words) => load::load(&words),
         Command::Stop(asked) => orders::stop(&asked),
     }
 }
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -151,6 +151,7 @@
             number(p.rate),
             p.delivered.to_string(),
             p.failures.to_string(),
+            p.verdict.clone(),
         ]
     };
     let head = [
@@ -167,6 +168,7 @@
         "rate/s",
         "delivered",
         "failed",
+        "verdict",
     ];
     table(&head, &partners.iter().map(row).collect::<Vec<_>>(), "no partners")
 }
@@ -184,10 +186,22 @@
             number(e.tau_ms),
             span(e.wait_ms),
             span(e.closed_ms),
+            e.verdict.clone(),
         ]
     };
-    let head =
-        ["name", "partner", "address", "state", "health", "calls", "window", "tau ms", "wait", "closed for"];
+    let head = [
+        "name",
+        "partner",
+        "address",
+        "state",
+        "health",
+        "calls",
+        "window",
+        "tau ms",
+        "wait",
+        "closed for",
+        "verdict",
+    ];
     table(&head, &endpoints.iter().map(row).collect::<Vec<_>>(), "no endpoints")
 }
 
