Refuse at the door what would be late, tell a true wait, and bound retries by first tries

Change: src/estimate.rs (policy): what is held over what is served (Little's law where nothing has been served yet), after a third of a second of backlog; an outage is expected to last as long again. All classes are let in by what the most overtaken one waits, so that none starves; a destination's backlog leaves room for others (dynamic thresholds); four are always taken on, for trials. Retry-After says the estimate. Retries: one for each first try, ten a second, first tries first. endpoints and partners say the verdict in words, with share, evidence and since when. refuse-after in a class. The list's and queues' bookkeeping is out of brain.rs. Off where clients heed no waits, as under the platform.

--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -238,6 +238,14 @@
     pub paused: bool,
     /// `up`, `failing`, `out` (single trials), `warming` (slow start), `closed` (paused, or no endpoint may be called).
     pub health: String,
+    /// The verdict on it and what that rests on, in a sentence for people.
+    pub verdict: String,
+    /// Smoothed share of calls that fail, 0 to 1.
+    pub failing: f64,
+    /// How much of the evidence that being `out` takes there is, 0 to 1 and a little more.
+    pub towards_out: f64,
+    /// How long `health` has stood; for `up` since the last failure. 0 if there was none.
+    pub stood_ms: u64,
     /// Endpoints.
     pub endpoints: u32,
     /// Those of them that may be called.
@@ -282,6 +290,14 @@
     pub state: String,
     /// As of a partner; `drained` once it is draining or paused and no call is out.
     pub health: String,
+    /// As of a partner, for its way.
+    pub verdict: String,
+    /// As of a partner, for its way.
+    pub failing: f64,
+    /// As of a partner, for its way.
+    pub towards_out: f64,
+    /// As of a partner, for its way.
+    pub stood_ms: u64,
     /// Calls out to it.
     pub calls: u32,
     /// Calls that may be out at once on its way, which it may share with others of its partner.
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -214,7 +214,13 @@
     if aim > deadline {
         found.add(&table.place("aim"), &table.name("aim"), "is later than the deadline, by when all is over");
     }
+    let refuse_after = table.or("refuse-after", 0, found, lasting());
+    if refuse_after > deadline {
+        let problem = "is later than the deadline, by when all is over";
+        found.add(&table.place("refuse-after"), &table.name("refuse-after"), problem);
+    }
     let class = Class {
+        refuse_after,
         effect,
         ordered,
         remembered,
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -38,6 +38,8 @@
     pub aim: u64,
     /// Given up after this span.
     pub deadline: u64,
+    /// One that would wait for longer is refused at the door; 0 where only the deadline counts.
+    pub refuse_after: u64,
     /// Worth of a delivery, beside those of other classes.
     pub worth: f64,
     /// Share of the worth that is left at the deadline, 0 to 1.
--- a/crates/site/src/template.rs
+++ b/crates/site/src/template.rs
@@ -37,6 +37,7 @@
 ordered = true                  # messages of one key go one at a time, in their order
 aim = "3s"                      # wanted within
 deadline = "24s"                # given up after
+refuse-after = "10s"            # refused at the door if it would wait for longer; left out: 0.6 of its time
 worth = 1
 late-worth = 0.5                # share of the worth that is left at the deadline
 
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -71,7 +71,7 @@
             match lost.remove(&ticket) {
                 Some(Unwritten { error, .. }) => {
                     eprintln!("journal: a message is refused: {error}");
-                    let _ = reply.send(self.full_answer());
+                    let _ = reply.send(self.not_taken(number));
                     self.withdraw(number);
                 }
                 None => self.durable.gathering.answers.push((ticket, number, reply)),
@@ -155,7 +155,7 @@
                 let _ = reply.send(Answer::TakenOn(receipt));
             } else {
                 // It may be there after a power cut or not: the client keeps it, under the same id.
-                let _ = reply.send(self.full_answer());
+                let _ = reply.send(self.not_taken(number));
                 self.record(number, &Record::Over);
                 self.withdraw(number);
             }
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -23,12 +23,12 @@
         let message = self.within_memory(message);
         if !self.targets.knows(message.destination) {
             // Perhaps its targets are on their way in the list.
-            let _ = reply.send(self.full_answer());
+            let _ = reply.send(self.full_answer(message.destination));
             return;
         }
         let full = self.messages.len() >= self.settings.settings.max_held as usize;
         if full || !self.journal.has_room(self.fresh_bytes + message.size()) {
-            let _ = reply.send(self.full_answer());
+            let _ = reply.send(self.full_answer(message.destination));
             return;
         }
         let held = self.messages.len();
@@ -85,9 +85,16 @@
         }
     }
 
-    /// The answer where there is no room, or no endpoint.
-    pub(super) fn full_answer(&mut self) -> Answer {
-        self.site.as_mut().map_or(Answer::Refused { retry_in_ms: 0 }, |s| s.full(0))
+    /// The answer where there is no room, or no endpoint: to come again when the module expects room.
+    pub(super) fn full_answer(&mut self, destination: u32) -> Answer {
+        let wait = self.brain.advice(destination).div_ceil(1000);
+        self.site.as_mut().map_or(Answer::Refused { retry_in_ms: 0 }, |s| s.full(wait))
+    }
+
+    /// The answer for a message that the journal did not take.
+    pub(super) fn not_taken(&mut self, number: u64) -> Answer {
+        let destination = self.messages.get(&number).map_or(0, |h| h.message.destination);
+        self.full_answer(destination)
     }
 
     /// Takes on what the module has not refused: first the journal, then the answer.
@@ -115,7 +122,7 @@
                 Ok(ticket) => self.durable.gathering.answers.push((ticket, number, reply)),
                 Err(error) => {
                     eprintln!("journal: a message is refused: {error}");
-                    let _ = reply.send(self.full_answer());
+                    let _ = reply.send(self.not_taken(number));
                     self.withdraw(number);
                 }
             }
--- a/src/bin/foldtrack/node/picture.rs
+++ b/src/bin/foldtrack/node/picture.rs
@@ -71,6 +71,11 @@
     (span as f64 / 100.0).round() / 10.0
 }
 
+/// A share to three places.
+fn share(number: f64) -> f64 {
+    (number * 1000.0).round() / 1000.0
+}
+
 fn round(number: f64) -> f64 {
     (number * 10.0).round() / 10.0
 }
@@ -193,6 +198,14 @@
                 kind: facts.map(|f| f.kind.clone()).unwrap_or_default(),
                 paused: partner.paused,
                 health: if open == 0 { "closed" } else { worst.map_or("up", health) }.into(),
+                verdict: if open == 0 {
+                    "nothing new goes to it".into()
+                } else {
+                    worst.map_or(String::new(), LaneView::words)
+                },
+                failing: worst.map_or(0.0, |l| share(l.failing)),
+                towards_out: worst.map_or(0.0, |l| share(l.towards_out)),
+                stood_ms: worst.and_then(|l| l.stood).unwrap_or(0) / 1000,
                 endpoints,
                 open,
                 held: heap.held,
@@ -249,6 +262,10 @@
                     None => "up",
                 }
                 .into(),
+                verdict: lane.filter(|_| open).map_or(String::new(), |(_, l, _)| l.words()),
+                failing: lane.map_or(0.0, |(_, l, _)| share(l.failing)),
+                towards_out: lane.map_or(0.0, |(_, l, _)| share(l.towards_out)),
+                stood_ms: lane.and_then(|(_, l, _)| l.stood).unwrap_or(0) / 1000,
                 calls,
                 window: lane.map_or(0.0, |(_, l, _)| round(l.window)),
                 tau_ms: lane.map_or(0.0, |(_, l, _)| millis(l.tau)),
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -122,6 +122,7 @@
         },
         group: Group::All,
         window: c.remembered,
+        patience: c.refuse_after,
         in_order: c.ordered,
         streaming: false,
     };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,7 @@
 //! the time-out and resend point τ of least expected completion time (see [`AnswerTimes`]). Around that
 //! stand a window of calls in flight, a gate for destinations that look out, and pacing under limits.
 
+use crate::estimate::{overtaken, Outlook};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,6 +18,13 @@
 /// Resends that each answer pays for, and how many may be saved up.
 const RESEND_SHARE: f64 = 0.2;
 const RESEND_SAVED: f64 = 5.0;
+/// Retries that each first try pays for, that a span of upkeep adds, and that are saved up at least. Guards a
+/// failing destination against being made worse: attempts stay under twice the messages.
+const RETRY_SHARE: f64 = 1.0;
+const RETRY_UPKEEP: f64 = 1.0;
+const RETRY_SAVED: f64 = 20.0;
+/// Set in the queue of messages that were tried before, beside the zone that binds them.
+const RETRY: u32 = 1 << 31;
 /// Part of the slots that calls to one destination may take; half while it is failing.
 const DESTINATION_SHARE: f64 = 0.75;
 /// Span of the upkeep timer, and microseconds in a second.
@@ -30,6 +38,12 @@
 const PACE_RISE: f64 = 0.005;
 /// A limit that changes by more than this has moved; less is noise.
 const LIMIT_MOVES: f64 = 1.5;
+/// Weight that what was taken on, by class, keeps with each further message.
+const MIX_KEEP: f64 = 0.998;
+/// Served calls a second above which they are many enough to tell a capacity.
+const MANY: f64 = 10.0;
+/// Weight of the calls that are out now in their smoothed number, once a span of upkeep.
+const OUT_WEIGHT: f64 = 0.2;
 /// Weight that the rate of served calls keeps over a span of upkeep.
 const RATE_KEEP: f64 = 0.95;
 /// Part of the room for held messages that is kept free.
@@ -183,12 +197,11 @@
             Event::List { kind, version, endpoints } => self.list(kind, version, endpoints),
             Event::Request { id, class, destination, order_key, expires } => {
                 let class = class as usize;
-                self.request(id, Message { class, destination, order_key, expires, ..Message::default() })
+                let m = Message { class, destination, order_key, expires, ..Message::default() };
+                self.knock(id, m);
             }
             Event::Restored { id, class, destination, order_key, expires, attempts, first_run } => {
-                let attempt = |o| Attempt { target: 0, call: 0, planned: false, done: Some(o) };
-                let attempts = attempts.into_iter().map(attempt).collect();
-                let (class, ran) = (class as usize, first_run);
+                let (class, ran, attempts) = (class as usize, first_run, Attempt::over(attempts));
                 let m =
                     Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
                 self.restored(id, m)
@@ -246,52 +259,67 @@
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
 
-    /// A full list removes what it lacks; a cached one is only a start.
-    fn list(&mut self, kind: ListKind, version: u32, lines: Vec<Endpoint>) {
-        if (kind == ListKind::Cached && self.s.subscribe) || kind == ListKind::Failed {
-            self.out.push(Action::Subscribe { on: true });
-        }
-        if version < self.list_version || kind == ListKind::Failed {
-            return;
-        }
-        self.list_version = version;
-        if kind == ListKind::Full {
-            let named: BTreeSet<TargetId> = lines.iter().map(|e| e.target).collect();
-            for (_, t) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                t.state = EndpointState::Gone;
+    /// A message at the door: where clients heed waits it is refused if it would be late, or its destination
+    /// has its part of the room.
+    fn knock(&mut self, id: MessageId, m: Message) {
+        let left = m.expires.saturating_sub(self.now) as f64;
+        self.heat(m.destination);
+        if let Some(d) = self.destinations.get(&m.destination).filter(|_| self.s.may_advise_wait) {
+            let mut outlook = self.outlook(d);
+            outlook.turn = self.turn(&m);
+            let ratio = overtaken(&d.mix, &self.s.classes);
+            let patience = self.s.classes.get(m.class).map_or(0, |c| c.patience);
+            let free = f64::from(self.s.max_held) * (1.0 - KEEP_FREE) - 2.0 - self.messages.len() as f64;
+            if left > 0.0 && outlook.refuses(ratio, left, patience, free) {
+                let retry_after = self.wait_told(outlook.wait());
+                return self.out.push(Action::Refuse { id, retry_after });
             }
         }
-        let aim = self.least_aim() / SECOND;
-        for e in lines {
-            let kind = e.kind as usize;
-            let apart = self.s.routes_apart.get(kind).copied().unwrap_or(false);
-            let d = self.destinations.entry(e.destination).or_default();
-            d.slots = e.slots;
-            let known = self.targets.get(&e.target).map(|t| t.lane);
-            let lane = known.or(if apart { None } else { d.lanes.first().copied() }).unwrap_or_else(|| {
-                let times = AnswerTimes::new();
-                let fee = self.s.zone_fee.get(e.zone as usize).copied().filter(|_| apart).unwrap_or(0.0);
-                let fresh = Lane { kind, fee, times, window: 1.0, budget: RESEND_SAVED, ..Lane::default() };
-                let fresh = Lane { tokens: 1.0, last_ok: self.now, ..fresh };
-                let place = self.spare.pop().unwrap_or(self.lanes.len());
-                match self.lanes.get_mut(place) {
-                    Some(lane) => *lane = fresh,
-                    None => self.lanes.push(fresh),
-                }
-                d.lanes.push(place);
-                place
-            });
-            let l = &mut self.lanes[lane];
-            // A report tells what holds now; the list what was agreed on.
-            if self.s.listed_rate != ListedRate::Unknown && e.rate > 0.0 && !l.reported {
-                l.limit_is(e.rate, self.s.senders, aim);
-            }
-            l.targets.extend(known.is_none().then_some(e.target));
-            let fresh = Target { lane, zone: e.zone, ..Target::default() };
-            self.targets.entry(e.target).or_insert(fresh).state = e.state;
+        self.request(id, m);
+    }
+
+    /// How what waits for a destination fares. Of routes apart the first to open counts.
+    fn outlook(&self, d: &Destination) -> Outlook {
+        let ready = |l: &Lane| {
+            l.targets.iter().any(|t| self.targets.get(t).is_some_and(|t| t.state == EndpointState::Ready))
+        };
+        let lanes = || d.lanes.iter().map(|lane| &self.lanes[*lane]).filter(|l| ready(l));
+        let shut = |l: &Lane| {
+            let out = l.trouble.filter(|_| matches!(l.gate, Gate::Out { .. }));
+            out.map_or(0, |since| self.now - since).max(l.wait_until.saturating_sub(self.now))
+        };
+        Outlook {
+            held: d.held,
+            served: lanes().map(Lane::serves).sum(),
+            behind: d.behind.map_or(0, |since| self.now - since),
+            shut: lanes().map(shut).min().unwrap_or(0),
+            turn: 0.0,
         }
     }
 
+    /// Microseconds that the messages before it in its key's line take at the least.
+    fn turn(&self, m: &Message) -> f64 {
+        let line = self.turns.get(&m.order_key).filter(|_| m.order_key != 0);
+        let lane = self.destinations.get(&m.destination).and_then(|d| self.lanes.get(*d.lanes.first()?));
+        line.zip(lane).map_or(0.0, |((line, _), l)| line.len() as f64 * l.times.mean())
+    }
+
+    /// When a client may come again for a destination, in microseconds: what is held for it has been served,
+    /// or some of the room is free. 0 where nothing tells, or no advice is heeded.
+    pub fn advice(&mut self, destination: DestinationId) -> Micros {
+        let wait = self.destinations.get(&destination).map_or(0.0, |d| self.outlook(d).wait());
+        let all: f64 = self.lanes.iter().map(Lane::serves).sum();
+        let room = KEEP_FREE * self.messages.len() as f64 / all * SECOND;
+        self.wait_told(if wait <= 0.0 && all > 0.0 { room } else { wait })
+    }
+
+    /// A wait as it is told: stretched a little at random, so that clients do not come back all at once.
+    fn wait_told(&mut self, wait: f64) -> Micros {
+        let stretched = |by: f64| (wait * (1.0 + TAU_JITTER * by)) as Micros;
+        let most = if self.s.may_advise_wait { self.s.max_advised_wait } else { return 0 };
+        stretched(self.random()).min(most)
+    }
+
     fn request(&mut self, id: MessageId, mut m: Message) {
         let expires = m.expires;
         if self.messages.contains_key(&id) {
@@ -304,14 +332,16 @@
         m.born = expires.saturating_sub(c.deadline);
         m.order_key *= u64::from(c.in_order);
         let order_key = m.order_key;
+        let d = self.destinations.entry(m.destination).or_default();
+        d.held += 1;
+        d.mix.resize(self.s.classes.len(), 0.0);
+        d.mix.iter_mut().for_each(|part| *part *= MIX_KEEP);
+        d.mix[m.class] += 1.0;
         self.messages.insert(id, m);
         self.agenda.insert((self.give_up_at(expires), id));
         if order_key != 0 {
             self.turns.entry(order_key).or_default().0.push_back(id);
         }
-        if let Some(d) = self.destinations.get(&self.messages[&id].destination) {
-            d.lanes.iter().for_each(|l| self.lanes[*l].heat += 1.0 / d.lanes.len() as f64);
-        }
         self.enqueue(id);
         self.make_room();
     }
@@ -322,6 +352,7 @@
         if self.s.classes.get(m.class).is_some_and(|c| c.in_order) && m.order_key != 0 {
             self.turns.entry(m.order_key).or_default().1 = self.now + self.s.rules.order_pause;
         }
+        self.heat(m.destination);
         self.request(id, m);
         if self.messages.get(&id).is_some_and(|m| !self.allowed(m).0) {
             self.give_up(id);
@@ -382,49 +413,22 @@
             }
             _ => {}
         }
-        let (queue, born) = ((m.class, zone), m.born);
+        let retry = if m.attempts.is_empty() { 0 } else { RETRY };
+        let (queue, born) = ((m.class, zone | retry), m.born);
         let d = self.destinations.entry(m.destination).or_default();
         d.ready.entry(queue).or_default().insert((born, id));
         self.messages.entry(id).and_modify(|m| m.queue = Some(queue));
     }
 
-    fn dequeue(&mut self, id: MessageId) {
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        let Some(queue) = m.queue.take() else { return };
-        let Some(d) = self.destinations.get_mut(&m.destination) else { return };
-        if let Some(set) = d.ready.get_mut(&queue) {
-            set.remove(&(m.born, id));
-        }
-        d.ready.retain(|_, set| !set.is_empty());
-    }
-
     /// Ends a message that is not (or no longer) out: refused where that is true to the client, else failed.
     fn give_up(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| !m.over) else { return };
-        let refuse = self.allowed(m).2;
-        self.out.push(if refuse { Action::Refuse { id, retry_after: 0 } } else { Action::Fail { id } });
+        let (refuse, destination) = (self.allowed(m).2, m.destination);
+        let retry_after = if refuse { self.advice(destination) } else { 0 };
+        self.out.push(if refuse { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.finish(id);
     }
 
-    /// A message is over; its attempts may still be out, and its key waits for them.
-    fn finish(&mut self, id: MessageId) {
-        self.dequeue(id);
-        let Some(m) = self.messages.get_mut(&id) else { return };
-        m.over = true;
-        let (key, expires) = (m.order_key, m.expires);
-        if m.attempts.iter().any(|a| a.done.is_none()) {
-            return;
-        }
-        self.messages.remove(&id);
-        self.agenda.remove(&(self.give_up_at(expires), id));
-        if let Some(turns) = self.turns.get_mut(&key) {
-            turns.0.retain(|x| *x != id);
-            if let Some(next) = turns.0.front().copied() {
-                self.enqueue(next);
-            }
-        }
-    }
-
     fn outcome(&mut self, id: MessageId, attempt: usize, mut end: End, ended: bool) {
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some(a) = m.attempts.get_mut(attempt).filter(|a| a.done.is_none()) else { return };
@@ -658,6 +662,8 @@
             // harm where the destination was not cold.
             let part = ((self.now - since) as f64 / r.ramp_time.max(1) as f64).min(1.0);
             let warm = r.cold_from + (1.0 - r.cold_from) * part;
+            // What it served lately it can do, also where clients come less often meanwhile.
+            let own = own.max(if l.before > MANY { l.before } else { 0.0 });
             let capacity = own.max(l.limit.max(LEAST_TOGETHER) / f64::from(self.s.senders.max(1)));
             (rate, depth) = (capacity * warm * r.tip_multiple.max(1.0) * RAMP_CAUTION, 1.0);
         }
@@ -743,11 +749,15 @@
         let mut best: Option<Pick> = None;
         for ((class, bound), set) in &d.ready {
             let Some((urgency, id)) = self.candidate(*class, set) else { continue };
-            let m = &self.messages[&id];
+            let (m, retry) = (&self.messages[&id], bound & RETRY != 0);
             let unsafe_now = self.s.classes[*class].effect == Effect::Unsafe;
             let mut choice: Option<((f64, f64), usize, TargetId, bool)> = None;
             for (lane, trial) in &open {
                 let l = &self.lanes[*lane];
+                // First tries before retries, where these have used up their part.
+                if retry && l.retries < 1.0 {
+                    continue;
+                }
                 // Unsafe messages are lost by an attempt without an answer: they stay away from what fails
                 // or is silent, but make a trial when nothing else has for an aim.
                 // What has failed a part of its calls for an aim goes on to: waiting longer gains nothing.
@@ -762,7 +772,7 @@
                 if over > 0.0 && urgency < over * worth && self.now < m.born + aim / 2 {
                     continue;
                 }
-                let zone = bound.checked_sub(1);
+                let zone = (bound & !RETRY).checked_sub(1);
                 let Some(target) = self.endpoint(*lane, zone) else { continue };
                 let busy = l.calls.len() as f64 / l.window.max(1.0) + f64::from(u8::from(*trial));
                 let load = (over.max(0.0), busy);
@@ -797,7 +807,10 @@
             }
             self.next_call
         });
+        let (first, saved) = (self.messages.get(&id).is_some_and(|m| m.attempts.is_empty()), self.s.slots);
         let l = &mut self.lanes[lane];
+        let part = if first { RETRY_SHARE } else { -1.0 };
+        l.retries = (l.retries + part).clamp(0.0, RETRY_SAVED.max(f64::from(saved)));
         let zone = self.targets.get_mut(&target).map_or(0, |t| {
             t.last_used = self.now;
             t.zone
@@ -830,7 +843,7 @@
         let zone = self.targets.get(&target).map_or(0, |t| t.zone + 1);
         for _ in 1..batch {
             let Some(d) = self.destinations.get(&dest) else { return };
-            let open = d.ready.iter().filter(|((_, z), _)| *z == 0 || *z == zone);
+            let open = d.ready.iter().filter(|((_, z), _)| z & !RETRY == 0 || z & !RETRY == zone);
             let next = open.filter_map(|((c, _), set)| self.candidate(*c, set));
             let Some((_, id)) = next.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
             let (m, l) = (&self.messages[&id], &self.lanes[lane]);
@@ -877,6 +890,9 @@
                 None => drop(best.swap_remove(i)),
             }
         }
+        for d in self.destinations.values_mut().filter(|d| !d.ready.is_empty()) {
+            d.behind.get_or_insert(now);
+        }
         self.blocked = !best.is_empty();
         let next = self.agenda.first().map_or(Micros::MAX, |a| a.0);
         let at = self.upkeep_at.min(self.wake_at).min(next);
@@ -901,7 +917,10 @@
                 // A resend throws work away and does it again: its cost c is a mean answer.
                 l.times.retune(l.times.mean());
             }
+            l.before = (l.before * keep).max(l.rate);
             l.rate *= RATE_KEEP;
+            l.out += OUT_WEIGHT * (l.calls.len() as f64 - l.out);
+            l.retries = l.retries.max((l.retries + RETRY_UPKEEP).min(RETRY_SAVED));
             l.pace += if l.pace > 0.0 && l.limit <= 0.0 { PACE_RISE * (l.pace + 0.5) } else { 0.0 };
             if matches!(l.gate, Gate::Ramp { since } if self.now > since + self.s.rules.ramp_time) {
                 l.gate = Gate::Open;
@@ -917,41 +936,6 @@
         self.forget();
     }
 
-    /// Forgets endpoints that have gone, so that replacing them all the time does not fill the memory; and
-    /// routes apart and destinations that have none left, once what was learned of them binds nothing: a wait
-    /// or an outage of a destination outlives its endpoints.
-    fn forget(&mut self) {
-        let lanes = &mut self.lanes;
-        self.targets.retain(|id, t| {
-            let l = &mut lanes[t.lane];
-            let keep = t.state != EndpointState::Gone || l.calls.values().any(|c| c.target == *id);
-            l.targets.retain(|other| keep || other != id);
-            keep
-        });
-        let (now, long) = (self.now, self.longest_deadline() as Micros);
-        let (lanes, spare, messages) = (&mut self.lanes, &mut self.spare, &self.messages);
-        self.destinations.retain(|id, d| {
-            let apart = |l: &Lane| self.s.routes_apart.get(l.kind).copied().unwrap_or(false);
-            let quiet = |l: &Lane| {
-                let bound =
-                    l.gate != Gate::Open || l.wait_until > now || l.judged.max(l.last_ok) + long > now;
-                l.targets.is_empty() && l.calls.is_empty() && !bound
-            };
-            let over = d.lanes.iter().all(|l| quiet(&lanes[*l]));
-            let over = over && !messages.values().any(|m| m.destination == *id);
-            d.lanes.retain(|lane| {
-                let l = &mut lanes[*lane];
-                let keep = !(over || apart(l) && quiet(l));
-                if !keep {
-                    *l = Lane::default();
-                    spare.push(*lane);
-                }
-                keep
-            });
-            !over
-        });
-    }
-
     /// Takes back slots from calls past all that is usual, whatever leaves them without an end, so that one
     /// silent endpoint does not hold up the others. Where the destination is out, what may be repeated at
     /// will goes at once; the rest a few at a time while a send is blocked. Harms very late answers.
@@ -976,6 +960,15 @@
 }
 
 impl Lane {
+    /// Messages a second that it serves while more are ready, 0 where too little is known: what it has served
+    /// lately, or by Little's law what it has out, or its pace.
+    fn serves(&self) -> f64 {
+        let served = 1.0 - self.evidence.share();
+        let little = self.out * served / self.times.mean().max(1.0) * SECOND;
+        let known = self.times.answers >= WARM_UP && !matches!(self.gate, Gate::Out { .. });
+        f64::from(u8::from(known)) * self.rate.max(little).max(self.pace * served)
+    }
+
     /// Halves the window, once for all calls that were out together.
     fn halve(&mut self, sent: Micros, now: Micros) -> bool {
         let due = self.halved <= sent;
@@ -999,6 +992,10 @@
     }
 }
 
+#[path = "listed.rs"]
+mod listed;
+#[path = "queues.rs"]
+mod queues;
 #[path = "view.rs"]
 mod view;
 
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -54,6 +54,7 @@
     /// When the first failure of the latest round ended, and how many there have been in it.
     round: Micros,
     in_round: f64,
+    last_failure: Option<Micros>,
     lossy_since: Option<Micros>,
     /// A share of failures that does not depend on the window, as far as cuts have told.
     tolerated: f64,
@@ -122,6 +123,7 @@
             (self.round, self.in_round) = (now, 0.0);
         }
         self.in_round += 1.0;
+        self.last_failure = Some(now);
         let step = (TOGETHER / self.in_round).min(1.0);
         self.walk = (self.walk + step).min(self.verdict(now) + KEPT_BEYOND);
         self.count(sent, now, 1.0, WEIGHT);
@@ -153,6 +155,21 @@
         self.share
     }
 
+    /// How much there is of the evidence that the verdict "out" takes: 1 and it stands.
+    pub fn towards_out(&self, now: Micros) -> f64 {
+        self.walk / self.verdict(now)
+    }
+
+    /// When a call failed last.
+    pub fn last_failure(&self) -> Option<Micros> {
+        self.last_failure
+    }
+
+    /// Since when many calls fail.
+    pub fn lossy_since(&self) -> Option<Micros> {
+        self.lossy_since
+    }
+
     /// Many calls fail.
     pub fn is_lossy(&self) -> bool {
         self.lossy_since.is_some()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,6 +64,8 @@
     pub window: Micros,
     /// Messages with the same order key go one at a time, as they came.
     pub in_order: bool,
+    /// A message that would wait for longer than this is refused at the door; 0 where only its deadline counts.
+    pub patience: Micros,
     /// Answers come as streams: an attempt whose stream began belongs to the client.
     pub streaming: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 #![warn(missing_docs)]
 
 mod brain;
+mod estimate;
 mod evidence;
 pub mod interface;
 pub mod settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,6 +127,7 @@
             },
             group: if c.group == "all" { Group::All } else { Group::Zone },
             window: c.window,
+            patience: 0,
             in_order: c.one_at_a_time,
             streaming: c.streaming,
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,8 +32,10 @@
     pub targets: Vec<TargetId>,
     pub kind: usize,
     pub times: AnswerTimes,
-    /// Resends that may still be made.
+    /// Planned resends that may still be made.
     pub budget: f64,
+    /// Retries of any kind that may still be made.
+    pub retries: f64,
     pub window: f64,
     pub halved: Micros,
     pub calls: BTreeMap<u64, Call>,
@@ -62,6 +64,10 @@
     pub filled: Micros,
     /// Calls served a second, smoothed over some seconds.
     pub rate: f64,
+    /// The most calls served a second lately, fading by half over the longest deadline.
+    pub before: f64,
+    /// Calls out, smoothed over half a second.
+    pub out: f64,
     /// Price of a message on a route apart.
     pub fee: f64,
     /// Messages that came for it, fading.
@@ -86,8 +92,15 @@
     pub lanes: Vec<usize>,
     /// Calls out to it at most, beside the share of all slots.
     pub slots: Option<u32>,
-    /// Messages ready to go, by class and by the zone (plus one) that binds them, oldest first.
+    /// Messages ready to go, by class and by the zone (plus one) that binds them, first tries and retries apart, oldest
+    /// first.
     pub ready: BTreeMap<(usize, u32), BTreeSet<(Micros, MessageId)>>,
+    /// Messages held for it that are not over.
+    pub held: u32,
+    /// Since when more has been ready than it takes.
+    pub behind: Option<Micros>,
+    /// What was taken on for it lately, by class.
+    pub mix: Vec<f64>,
 }
 
 /// An attempt; `done` once it has its outcome.
@@ -99,6 +112,13 @@
     pub done: Option<Outcome>,
 }
 
+impl Attempt {
+    /// Attempts of an earlier process, by how they ended.
+    pub fn over(outcomes: Vec<Outcome>) -> Vec<Attempt> {
+        outcomes.into_iter().map(|o| Attempt { target: 0, call: 0, planned: false, done: Some(o) }).collect()
+    }
+}
+
 /// A message.
 #[derive(Debug, Default)]
 pub(crate) struct Message {
--- a/src/view.rs
+++ b/src/view.rs
@@ -31,6 +31,14 @@
                 health,
                 trouble: l.trouble.map(|since| now.saturating_sub(since)),
                 failing: l.evidence.share(),
+                towards_out: l.evidence.towards_out(now),
+                stood: match l.gate {
+                    Gate::Open if l.evidence.is_lossy() => l.evidence.lossy_since(),
+                    Gate::Open => l.evidence.last_failure(),
+                    Gate::Out { .. } => l.trouble,
+                    Gate::Ramp { since } => Some(since),
+                }
+                .map(|since| now.saturating_sub(since)),
                 wait: rest(l.wait_until),
                 window: l.window,
                 calls: l.calls.len() as u32,
