Don't take a dip of a second for what a partner serves

Cause: at 5.5% of failing calls, 3,000 a second, a window that a suspicion had cut made the estimate fall to a tenth for a second, and 28% were refused that would have been delivered in time.

Change: what was served counts over eight seconds too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,8 +42,9 @@
 const MIX_KEEP: f64 = 0.998;
 /// Served calls a second above which they are many enough to tell a capacity.
 const MANY: f64 = 10.0;
-/// Weight of the calls that are out now in their smoothed number, once a span of upkeep.
+/// Weights of the calls out and of what is served now in their means over half a second and eight seconds.
 const OUT_WEIGHT: f64 = 0.2;
+const STEADY_WEIGHT: f64 = 0.0125;
 /// Weight that the rate of served calls keeps over a span of upkeep.
 const RATE_KEEP: f64 = 0.95;
 /// Part of the room for held messages that is kept free.
@@ -917,6 +918,7 @@
                 // A resend throws work away and does it again: its cost c is a mean answer.
                 l.times.retune(l.times.mean());
             }
+            l.steady += STEADY_WEIGHT * (l.rate - l.steady);
             l.before = (l.before * keep).max(l.rate);
             l.rate *= RATE_KEEP;
             l.out += OUT_WEIGHT * (l.calls.len() as f64 - l.out);
@@ -961,12 +963,12 @@
 
 impl Lane {
     /// Messages a second that it serves while more are ready, 0 where too little is known: what it has served
-    /// lately, or by Little's law what it has out, or its pace.
+    /// lately, and a dip of a second is none; or by Little's law what it has out, or its pace.
     fn serves(&self) -> f64 {
         let served = 1.0 - self.evidence.share();
         let little = self.out * served / self.times.mean().max(1.0) * SECOND;
         let known = self.times.answers >= WARM_UP && !matches!(self.gate, Gate::Out { .. });
-        f64::from(u8::from(known)) * self.rate.max(little).max(self.pace * served)
+        f64::from(u8::from(known)) * self.rate.max(self.steady).max(little).max(self.pace * served)
     }
 
     /// Halves the window, once for all calls that were out together.
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub filled: Micros,
     /// Calls served a second, smoothed over some seconds.
     pub rate: f64,
+    /// Calls served a second, smoothed over eight seconds.
+    pub steady: f64,
     /// The most calls served a second lately, fading by half over the longest deadline.
     pub before: f64,
     /// Calls out, smoothed over half a second.
