Let in by decision: caps, a reserve for known clients, fair shares, blocks, descriptors

Cause: one pool of places for all let go of whoever was idle longest, so that a flood from one address pushed everybody out: known clients that connect for each message went to over 1,000 ms at p99.

Change: crates/admission, without I/O: caps by address and prefix, new connections a second, a reserve for those known by name or by messages taken on, max-min sharing of the rest, requests refused by share where the house is busy, floods as one line each, blocks, places from the descriptors that there are. Accounts are exact for who has something open and bounded beyond; a keyed sketch counts the rest. clients.rs carries it out: turned away before a task is made, a spare descriptor, a stalled answer ends. foldtrack clients, block, unblock; blocks outlive the process. Under the platform all clients are known and take turns as before.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,16 @@
+//! Who is let in. Decisions alone: time, who connects or asks, and what is held go in; admit, let wait, turn away or let
+//! go of whom comes out. No sockets, no clock, no I/O. `docs/design/admission.md` has the options.
+//!
+//! [`gate`] decides on connections and requests, [`account`] is what is known of one address, [`settings`] the figures,
+//! [`descriptors`] says how many places there are.
+
+pub mod account;
+pub mod descriptors;
+pub mod gate;
+pub mod settings;
+
+pub use gate::{Admit, Ask, Doing, Event, Gate, Seen, Why};
+pub use settings::Settings;
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -90,6 +90,24 @@
         /// Its name.
         partner: String,
     },
+    /// Clients by address, the busiest first, with what is blocked and which floods there were.
+    Clients {
+        /// Lines at most; [`MOST_LINES`] if not given.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        most: Option<u32>,
+    },
+    /// An order: nobody of an address or network is let in for a while. It outlives the process.
+    Block {
+        /// An address, or a network as `192.0.2.0/24`.
+        network: String,
+        /// For so long, 30 days at most.
+        for_ms: u64,
+    },
+    /// An order: a block ends.
+    Unblock {
+        /// As it was blocked.
+        network: String,
+    },
     /// An order: the process ends, once what is out has ended or its time is up.
     Stop,
 }
@@ -123,6 +141,8 @@
     Failures(Vec<Failure>),
     /// One message.
     Message(Box<Message>),
+    /// Clients.
+    Clients(Box<Clients>),
     /// An order has been carried out, and outlives the process and the power.
     Done(Done),
     /// A push: all that a subscription shows.
@@ -312,6 +332,46 @@
     pub closed_ms: u64,
 }
 
+/// Who hands messages in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Clients {
+    /// By address, the busiest first.
+    pub clients: Vec<ClientLine>,
+    /// What is blocked, and for how many milliseconds yet.
+    pub blocks: Vec<(String, u64)>,
+    /// Floods since the start, a line each, the latest first.
+    pub floods: Vec<String>,
+}
+
+/// An address that hands messages in. Counts are since it was first seen, or since it was forgotten.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ClientLine {
+    /// The address.
+    pub address: String,
+    /// `by name`, `earned` (by messages taken on lately), `no`.
+    pub known: String,
+    /// Connections now.
+    pub connections: u32,
+    /// Requests open now.
+    pub requests: u32,
+    /// Requests.
+    pub asked: u64,
+    /// Messages taken on.
+    pub taken: u64,
+    /// Requests refused because its share was used up.
+    pub refused: u64,
+    /// Connections turned away.
+    pub turned_away: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// What part that is of all requests, 0 to 1.
+    pub part: f64,
+    /// It is held to flood.
+    pub floods: bool,
+}
+
 /// What is held of a key of a partner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -33,7 +33,7 @@
         plan.calls,
         512 + 4 * (plan.connections + plan.calls as usize),
     )
-    .replacen("[limits]\n", "[limits]\ndisk = \"2048MiB\"\n", 1)
+    .replacen("[limits]\n", "[admission]\nknown = [\"127.0.0.0/8\"]\n[limits]\ndisk = \"2048MiB\"\n", 1)
 }
 
 /// One run through a forwarder that is started for it.
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -1,11 +1,12 @@
 //! The rules of a site file.
 
-use crate::fields::{by, number, text, whole, within, yes_or_no, Fields};
+use crate::fields::{by, each, number, text, whole, within, yes_or_no, Fields};
 use crate::finding::{Finding, Findings};
 use crate::model::*;
 use crate::units::{rate, size, span};
+use ipnet::IpNet;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use toml::de::DeTable;
 
@@ -58,6 +59,7 @@
     let disk_place = table.place("disk");
     let limits = limits(table, found);
     let ends = ends(top.table("ends", found), found);
+    let admission = admission(top.table("admission", found), found);
     let mut table = top.table("calls", found);
     let calls = Calls {
         connection_idle: table.or(
@@ -124,7 +126,8 @@
         found.add(&(0..0), "partner", problem);
     }
 
-    let site = Site { name, listen, state, durability, limits, ends, calls, classes, kinds, partners };
+    let site =
+        Site { name, listen, state, durability, limits, ends, admission, calls, classes, kinds, partners };
     if site.control_socket().as_os_str().len() > LONGEST_SOCKET_PATH {
         let problem = format!(
             "is too long: the control line's socket in it may have a path of {LONGEST_SOCKET_PATH} bytes at most"
@@ -174,6 +177,43 @@
     limits
 }
 
+fn admission(mut table: Fields<'_, '_>, found: &mut Findings<'_>) -> Admission {
+    let count = || {
+        let read = within(1..=1_000_000, "1 to 1000000", whole);
+        move |value: &toml::de::DeValue<'_>| read(value).map(|n| Some(n as u32))
+    };
+    let rate = || within(0.1..=1e6, "0.1 to 1000000", number);
+    let bits = |most: u64, shown: &'static str| within(0..=most, shown, whole);
+    let admission = Admission {
+        known: table.or("known", Vec::new(), found, each(network)),
+        reserve: table.or("reserve", 0.5, found, within(0.0..=1.0, "0 to 1, a share of the places", number)),
+        per_address: table.or("per-address", None, found, count()),
+        per_known: table.or("per-known", None, found, count()),
+        per_prefix: table.or("per-prefix", None, found, count()),
+        v4_prefix: table.or("v4-prefix", 24, found, bits(32, "0 to 32")) as u8,
+        v6_prefix: table.or("v6-prefix", 64, found, bits(128, "0 to 128")) as u8,
+        new_per_second: table.or("new-per-second", 200.0, found, rate()),
+        burst: table.or("burst", 200.0, found, rate()),
+        requests: table.or("requests", None, found, count()),
+    };
+    table.done(found);
+    admission
+}
+
+/// An address, or a network as an address and the bits of its prefix.
+///
+/// # Errors
+/// What would be right.
+pub fn network(text: &str) -> Result<IpNet, String> {
+    let single = || text.parse::<IpAddr>().map(|address| IpNet::from(address.to_canonical()));
+    let read = text.parse::<IpNet>().map(|net| net.trunc()).or_else(|_| single());
+    read.map_err(|_| {
+        format!(
+            "{text:?} is no address or network; one is \"192.0.2.7\", \"192.0.2.0/24\" or \"2001:db8::/32\""
+        )
+    })
+}
+
 fn ends(mut table: Fields<'_, '_>, found: &mut Findings<'_>) -> Ends {
     let size_range = within(64 * KIB..=1 << 32, "\"64KiB\" to \"4GiB\"", by(size));
     let ends = Ends {
--- a/crates/site/src/fields.rs
+++ b/crates/site/src/fields.rs
@@ -175,6 +175,16 @@
     move |value| convert(text(value)?)
 }
 
+/// A list of texts, each read by a conversion.
+pub(crate) fn each<T>(
+    convert: impl Fn(&str) -> Result<T, String>,
+) -> impl Fn(&DeValue<'_>) -> Result<Vec<T>, String> {
+    move |value| match value {
+        DeValue::Array(all) => all.iter().map(|one| convert(text(one.get_ref())?)).collect(),
+        other => Err(format!("is {}, where a list of texts is needed: [\"..\", \"..\"]", kind_of(other))),
+    }
+}
+
 /// One that must lie in a range; `shown` tells the range to a person.
 pub(crate) fn within<T: PartialOrd>(
     range: impl RangeBounds<T>, shown: &'static str, convert: impl Fn(&DeValue<'_>) -> Result<T, String>,
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -1,5 +1,6 @@
 //! What a site is. All spans are microseconds, all sizes bytes, all rates messages a second.
 
+use ipnet::IpNet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -98,6 +99,31 @@
     pub longest_wait: u64,
 }
 
+/// Who is let in. What is `None` follows from the places that there are for connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admission {
+    /// Networks whose clients are known, whatever they have handed in.
+    pub known: Vec<IpNet>,
+    /// Share of the places that is kept for known clients, 0 to 1.
+    pub reserve: f64,
+    /// Connections of an address that is not known.
+    pub per_address: Option<u32>,
+    /// Connections of an address that is known.
+    pub per_known: Option<u32>,
+    /// Connections of all addresses of a prefix together that are not known.
+    pub per_prefix: Option<u32>,
+    /// Bits of a prefix of IPv4, 0 to 32.
+    pub v4_prefix: u8,
+    /// Bits of a prefix of IPv6, 0 to 128.
+    pub v6_prefix: u8,
+    /// New connections a second of an address that is not known.
+    pub new_per_second: f64,
+    /// New connections that such an address may open at once.
+    pub burst: f64,
+    /// Requests of one address that are open at once.
+    pub requests: Option<u32>,
+}
+
 /// How long the ends of messages are kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ends {
@@ -133,6 +159,8 @@
     pub limits: Limits,
     /// Bounds of the kept ends.
     pub ends: Ends,
+    /// Who is let in.
+    pub admission: Admission,
     /// How calls are made.
     pub calls: Calls,
     /// Classes, in the order of their names.
--- a/crates/site/src/template.rs
+++ b/crates/site/src/template.rs
@@ -24,6 +24,10 @@
 size = "32MiB"
 age = "7days"
 
+[admission]                     # who is let in when connections are short
+known = []                      # networks of known clients: ["10.1.0.0/16"]; others become known by handing in
+reserve = 0.5                   # share of the connections that is kept for known clients
+
 [calls]
 connection-idle = "15s"         # partners close idle connections after this
 connect-timeout = "1s"
--- /dev/null
+++ b/src/bin/foldtrack/blocks.rs
@@ -0,0 +1,158 @@
+//! Blocks of clients by order, kept over restarts in a file of their own, and what the control line is told of clients. All
+//! of it runs on the control line's thread: the loop is not asked.
+
+use crate::places::Places;
+use foldtrack_admission::Event;
+use foldtrack_control::{ClientLine, Clients};
+use ipnet::IpNet;
+use serde::{Deserialize, Serialize};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+
+const FILE: &str = "blocks.json";
+/// Lines of floods that are shown.
+const FLOODS: usize = 100;
+/// A block lasts so long at most, in milliseconds: 30 days.
+pub(crate) const LONGEST_MS: u64 = 30 * 86_400_000;
+
+/// One block as it is kept.
+#[derive(Debug, Serialize, Deserialize)]
+struct Kept {
+    network: IpNet,
+    /// Unix time in microseconds.
+    until: u64,
+}
+
+/// The blocks of a site.
+pub(crate) struct Blocks {
+    path: PathBuf,
+    places: Arc<Places>,
+    /// Floods, the latest first, as lines.
+    floods: Mutex<Vec<String>>,
+}
+
+impl Blocks {
+    /// Reads what is kept; blocks that have ended meanwhile are none.
+    ///
+    /// # Errors
+    /// The file can't be read, or holds something else. It is left as it is.
+    pub fn open(state: &Path, places: Arc<Places>) -> Result<Arc<Blocks>, String> {
+        let path = state.join(FILE);
+        let told = |e: &dyn std::fmt::Display| {
+            format!("{}: {e}; move it away to start without blocks", path.display())
+        };
+        let kept: Vec<Kept> = match std::fs::read(&path) {
+            Ok(text) => serde_json::from_slice(&text).map_err(|e| told(&e))?,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
+            Err(e) => return Err(told(&e)),
+        };
+        let clock = places.clock();
+        let now = clock.unix(clock.now());
+        for Kept { network, until } in kept.iter().filter(|kept| kept.until > now) {
+            places.block(*network, clock.since_unix(*until)).map_err(|e| told(&e))?;
+        }
+        Ok(Arc::new(Blocks { path, places, floods: Mutex::default() }))
+    }
+
+    /// Blocks a network for so long. It holds at once, and once this returns over a restart.
+    ///
+    /// # Errors
+    /// There are too many, or it could not be kept: then it holds, but may not outlive the process.
+    pub fn block(&self, network: IpNet, for_ms: u64) -> Result<(), String> {
+        let until = self.places.clock().now() + for_ms.min(LONGEST_MS) * 1000;
+        self.places.block(network, until)?;
+        self.keep().map_err(|e| {
+            format!("the block holds, but may not outlive the process: {}: {e}", self.path.display())
+        })
+    }
+
+    /// Ends a block; false if there was none.
+    ///
+    /// # Errors
+    /// It could not be kept.
+    pub fn unblock(&self, network: &IpNet) -> Result<bool, String> {
+        let was = self.places.unblock(network);
+        let kept = self.keep();
+        kept.map(|()| was).map_err(|e| {
+            format!("it holds no more, but may come back with a restart: {}: {e}", self.path.display())
+        })
+    }
+
+    /// Writes all that stands into a new file and puts it in the old one's place: whole or not at all, also when the power
+    /// goes.
+    fn keep(&self) -> io::Result<()> {
+        let clock = self.places.clock();
+        let now = clock.now();
+        let standing = self.places.blocks().into_iter().filter(|(_, until)| *until > now);
+        let kept: Vec<Kept> =
+            standing.map(|(network, until)| Kept { network, until: clock.unix(until) }).collect();
+        let folder = self.path.parent().unwrap_or(Path::new("."));
+        let mut file = tempfile::NamedTempFile::new_in(folder)?;
+        file.write_all(&serde_json::to_vec(&kept)?)?;
+        file.as_file().sync_all()?;
+        file.persist(&self.path).map_err(|e| e.error)?;
+        std::fs::File::open(folder)?.sync_all()
+    }
+
+    /// Takes in what the gate has noticed; each is told once, in one line.
+    pub fn notice(&self) {
+        for event in self.places.events() {
+            let name =
+                |a: Option<std::net::IpAddr>| a.map_or("many addresses".to_string(), |a| a.to_string());
+            let line = match event {
+                Event::FloodBegan { address } => format!("clients: a flood from {} begins", name(address)),
+                Event::FloodEnded { address, turned_away, lasted } => format!(
+                    "clients: the flood from {} is over: {turned_away} connections turned away in {:.1} s",
+                    name(address),
+                    lasted as f64 / 1e6
+                ),
+            };
+            eprintln!("{line}");
+            let mut floods = self.floods.lock().unwrap_or_else(PoisonError::into_inner);
+            floods.insert(0, line);
+            floods.truncate(FLOODS);
+        }
+    }
+
+    /// Takes in how many descriptors there are now.
+    pub fn review(&self, most: Result<usize, String>) {
+        let (places, told) = match most {
+            Ok(places) => (places, format!("clients: {places} connections at once from now on")),
+            Err(error) => (0, format!("clients: nobody is let in: {error}")),
+        };
+        if self.places.set_places(places) {
+            eprintln!("{told}");
+        }
+    }
+
+    /// What there is to see of clients: the busiest addresses, at most so many.
+    pub fn clients(&self, most: usize) -> Clients {
+        let clock = self.places.clock();
+        let now = clock.now();
+        let client = |seen: foldtrack_admission::Seen| ClientLine {
+            address: seen.address.to_string(),
+            known: match (seen.named, seen.known) {
+                (true, _) => "by name",
+                (false, true) => "earned",
+                (false, false) => "no",
+            }
+            .into(),
+            connections: seen.open as u32,
+            requests: seen.requests as u32,
+            asked: seen.asked,
+            taken: seen.taken,
+            refused: seen.refused,
+            turned_away: seen.turned_away,
+            rate: (seen.rate * 10.0).round() / 10.0,
+            part: (seen.part * 1000.0).round() / 1000.0,
+            floods: seen.floods,
+        };
+        let blocks = self.places.blocks().into_iter().filter(|(_, until)| *until > now);
+        Clients {
+            clients: self.places.seen(most).into_iter().map(client).collect(),
+            blocks: blocks.map(|(network, until)| (network.to_string(), (until - now) / 1000)).collect(),
+            floods: self.floods.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+        }
+    }
+}
--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -145,6 +145,31 @@
     /// Messages at a stated rate to stand-in partners with stated failures, and what became of them
     #[command(subcommand)]
     Load(load::Load),
+    /// Who hands messages in, by address, with what is refused and blocked
+    Clients {
+        /// Lines at most
+        #[arg(long, default_value_t = 50)]
+        most: u32,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Nobody of an address or network is let in for a while
+    Block {
+        /// An address, or a network as 192.0.2.0/24
+        network: String,
+        /// For so long: 10m, 2h
+        #[arg(long = "for", default_value = "10m", value_parser = humantime::parse_duration)]
+        span: std::time::Duration,
+        #[command(flatten)]
+        asked: Asked,
+    },
+    /// Ends a block
+    Unblock {
+        /// As it was blocked
+        network: String,
+        #[command(flatten)]
+        asked: Asked,
+    },
     /// Ends the forwarder; what it holds is taken up at its next start
     Stop(Asked),
 }
@@ -259,6 +284,11 @@
             orders::order(&asked, Ask::Add { partner, endpoint, address })
         }
         Command::Remove { endpoint, asked } => orders::order(&asked, Ask::Remove { endpoint }),
+        Command::Clients { most, asked } => asked.show(Ask::Clients { most: Some(most) }),
+        Command::Block { network, span, asked } => {
+            orders::order(&asked, Ask::Block { network, for_ms: span.as_millis() as u64 })
+        }
+        Command::Unblock { network, asked } => orders::order(&asked, Ask::Unblock { network }),
         Command::Send(words) => send::send(&words),
         Command::Ends(words) => ends::ends(&words),
         Command::Journal(words) => journal::journal(&words),
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -1,7 +1,9 @@
 //! Answers as text for people: aligned columns, units, nothing that a control character of a message's id could
 //! bring into a terminal.
 
-use foldtrack_control::{Done, Endpoint, Failure, Message, Partner, Queue, Status, Told};
+use foldtrack_control::{
+    ClientLine, Clients, Done, Endpoint, Failure, Message, Partner, Queue, Status, Told,
+};
 use std::time::{Duration, UNIX_EPOCH};
 
 pub(super) fn text(told: &Told) -> String {
@@ -12,6 +14,7 @@
         Told::Queues(queues) => self::queues(queues),
         Told::Failures(failures) => self::failures(failures),
         Told::Message(message) => self::message(message),
+        Told::Clients(clients) => self::clients(clients),
         Told::Done(done) => self::done(done),
         Told::Changed { status, .. } => self::status(status),
         Told::Error(error) => format!("{}\n", plain(&error.text)),
@@ -217,6 +220,41 @@
     )
 }
 
+fn clients(all: &Clients) -> String {
+    let row = |c: &ClientLine| {
+        vec![
+            c.address.clone(),
+            if c.floods { format!("{}, floods", c.known) } else { c.known.clone() },
+            c.connections.to_string(),
+            c.requests.to_string(),
+            c.asked.to_string(),
+            c.taken.to_string(),
+            c.refused.to_string(),
+            c.turned_away.to_string(),
+            number(c.rate),
+            format!("{:.1}%", c.part * 100.0),
+        ]
+    };
+    let head = [
+        "address",
+        "known",
+        "open",
+        "requests",
+        "asked",
+        "taken",
+        "refused",
+        "turned away",
+        "rate/s",
+        "share",
+    ];
+    let mut text = table(&head, &all.clients.iter().map(row).collect::<Vec<_>>(), "nobody has come yet");
+    for (network, ms) in &all.blocks {
+        text += &format!("blocked  {}  for {} yet\n", plain(network), span(*ms));
+    }
+    all.floods.iter().for_each(|line| text += &format!("{}\n", plain(line)));
+    text
+}
+
 fn failures(failures: &[Failure]) -> String {
     let row = |f: &Failure| {
         vec![
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -1,16 +1,21 @@
 //! What the forwarder is told at its start: the environment and the configuration file.
 
+use crate::clock::Clock;
 use crate::list::ServerList;
 use crate::membership::Membership;
+use crate::places::{half, Places};
 use crate::platform::Agent;
+use foldtrack_admission::Settings as Admission;
 use foldtrack_ends::Store;
 use foldtrack_journal::Budget;
 use foldtrack_site::Site;
 use hatchline::settings::Parsed;
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use serde::Deserialize;
 use std::env;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use tokio::sync::watch;
 
 pub(crate) struct Config {
@@ -18,6 +23,8 @@
     pub state: PathBuf,
     pub seed: u64,
     pub sockets: usize,
+    /// Of the listener, for clients.
+    pub places: Arc<Places>,
     pub memory_bytes: usize,
     pub disk_bytes: u64,
     /// The disk counts as no larger: a rehearsal.
@@ -63,6 +70,13 @@
     32.0
 }
 
+/// Under the platform every client comes through its front, whatever address that has: it is known, and takes turns with
+/// itself.
+fn behind_the_platform(places: usize) -> Admission {
+    let all = [IpNet::V4(Ipv4Net::default()), IpNet::V6(Ipv6Net::default())];
+    Admission::behind_a_front(places, all.to_vec())
+}
+
 fn variable(name: &str) -> Result<String, String> {
     env::var(name).map_err(|e| format!("{name}: {e}"))
 }
@@ -105,6 +119,7 @@
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
             sockets: file.limits.sockets,
+            places: Places::new(behind_the_platform(half(file.limits.sockets).max(1)), Clock::new()),
             memory_bytes: (file.limits.memory_mb * 1e6) as usize,
             disk_bytes: disk_bytes as u64,
             disk_budget: None,
--- a/src/bin/foldtrack/control.rs
+++ b/src/bin/foldtrack/control.rs
@@ -1,6 +1,7 @@
 //! The serving side of the control line. Readers have a thread and a runtime of their own: what they do, and how
 //! slowly, is nothing to the loop. The loop is asked for a picture a few times a second at most, whoever wants to see it.
 
+use crate::blocks::{Blocks, LONGEST_MS};
 use crate::door::{Ask as Front, Input, Inputs, Picture};
 use foldtrack_control::lines::{Lines, Unreadable, LONGEST};
 use foldtrack_control::protocol::read;
@@ -32,6 +33,8 @@
 const LEAST_PUSH: u32 = 200;
 /// Pause between two that are let in.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+/// How often floods are looked for, and how many descriptors there are.
+const NOTICE: Duration = Duration::from_secs(1);
 /// How long the readers' thread stays without a reader.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -51,23 +54,36 @@
     Ok(listener)
 }
 
-/// Serves the control line from now on, on this runtime; readers get a thread of their own.
-pub(crate) fn start(listener: UnixListener, inputs: Inputs) -> Result<(), String> {
+/// Serves the control line from now on, on this runtime; readers get a thread of their own. `most` tells how many
+/// connections clients may have now.
+pub(crate) fn start(
+    listener: UnixListener, inputs: Inputs, blocks: Arc<Blocks>,
+    most: impl Fn() -> Result<usize, String> + Send + 'static,
+) -> Result<(), String> {
     let listener = Listener::from_std(listener).map_err(|e| format!("control line: {e}"))?;
     let line = Arc::new(Line {
         inputs,
+        blocks: blocks.clone(),
         picture: Mutex::default(),
         ordered: Default::default(),
         readers: Default::default(),
         thread: Default::default(),
     });
     tokio::spawn(accept(listener, line));
+    tokio::spawn(async move {
+        loop {
+            sleep(NOTICE).await;
+            blocks.notice();
+            blocks.review(most());
+        }
+    });
     Ok(())
 }
 
 /// What all readers share.
 struct Line {
     inputs: Inputs,
+    blocks: Arc<Blocks>,
     /// The last picture.
     picture: Mutex<Option<Arc<Picture>>>,
     /// When the last order was carried out: no picture that is older is shown.
@@ -285,6 +301,12 @@
                 Err(_) => ending(),
             };
         }
+        Ask::Clients { most } => {
+            let most = most.unwrap_or(MOST_LINES).min(MOST_LINES) as usize;
+            return Told::Clients(Box::new(line.blocks.clients(most)));
+        }
+        Ask::Block { network, for_ms } => return block(line, &network, Some(for_ms)),
+        Ask::Unblock { network } => return block(line, &network, None),
         Ask::Stop => {
             line.inputs.send(Input::Terminate);
             let version = line.picture().await.map_or(0, |p| p.status.membership);
@@ -319,6 +341,25 @@
     told
 }
 
+/// Blocks a network, or ends a block. Here, not in the loop: the file that keeps it may take its time.
+fn block(line: &Line, network: &str, for_ms: Option<u64>) -> Told {
+    let network = match foldtrack_site::check::network(network) {
+        Ok(network) => network,
+        Err(problem) => return error("refused", &problem),
+    };
+    let changed = match for_ms {
+        Some(for_ms) if for_ms == 0 || for_ms > LONGEST_MS => {
+            return error("refused", "a block lasts for 1 ms to 30 days");
+        }
+        Some(for_ms) => line.blocks.block(network, for_ms).map(|()| true),
+        None => line.blocks.unblock(&network),
+    };
+    match changed {
+        Ok(changed) => Told::Done(foldtrack_control::Done { changed, version: 0, calls: 0, held: 0 }),
+        Err(problem) => error("not_kept", &problem),
+    }
+}
+
 fn show(ask: Ask, picture: &Picture) -> Told {
     let most = |most: Option<u32>| most.unwrap_or(MOST_LINES).min(MOST_LINES) as usize;
     match ask {
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -2,6 +2,7 @@
 //! and the platform.
 #![warn(missing_docs)]
 
+mod blocks;
 mod cli;
 mod clients;
 mod clock;
@@ -15,6 +16,7 @@
 mod message;
 mod node;
 mod notices;
+mod places;
 mod platform;
 mod serve;
 mod streams;
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -21,6 +21,7 @@
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::notices::Notices;
+use crate::places::half;
 use crate::table::{Ids, Targets};
 use appliance::{Appliance, LONGEST_NAME};
 use foldtrack_ends::Attempt;
@@ -47,9 +48,6 @@
 /// Time of a round that the journal's compaction takes at most, beside what a full room calls for at once.
 const JOURNAL_STEP: Duration = Duration::from_micros(300);
 const SWEEP: Duration = Duration::from_secs(1);
-/// Descriptors for all but clients and targets: the runtime's, the journal's, those to the platform, and those
-/// that are closing.
-const OTHER_SOCKETS: usize = 32;
 /// Part of the memory limit that bodies which are being read may take.
 const BODIES_PART: usize = 4;
 /// Bytes of the memory limit for each id that is remembered.
@@ -149,8 +147,7 @@
     // Numbers of messages that are over may stand in kept ends: none is used twice.
     let highest = journal.highest().max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
-    // Half for clients, half for calls and for what stands idle between them.
-    let share = config.sockets.saturating_sub(OTHER_SOCKETS) / 2;
+    let share = half(config.sockets);
     let slots = settings.settings.slots as usize;
     let conn_idle = Duration::from_micros(settings.settings.connection_idle);
     let mut node = Node {
@@ -192,7 +189,7 @@
     let listener = TcpListener::bind(config.listen).await?;
     let bodies = Semaphore::new(config.memory_bytes / BODIES_PART);
     let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies, fronts };
-    tokio::spawn(clients::serve(listener, Arc::new(desk), share.max(1)));
+    tokio::spawn(clients::serve(listener, Arc::new(desk), config.places));
     while !node.has_ended() {
         let begun = Instant::now();
         node.round(&mut batch);
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -1,10 +1,14 @@
 //! A site of its own: from the site file to a running loop.
 
+use crate::blocks::Blocks;
+use crate::clock::Clock;
 use crate::config::{Config, SiteParts};
 use crate::control;
 use crate::door;
 use crate::membership::SiteMembership;
+use crate::places::{self, Places, OTHER_SOCKETS};
 use crate::{runtime, serve_until_told};
+use foldtrack_admission::descriptors::{self, Kept};
 use foldtrack_ends::shelf::Bounds;
 use foldtrack_ends::Store;
 use foldtrack_journal::Budget;
@@ -46,6 +50,11 @@
     }
     let ends =
         Store::open(&site.state.join("ends"), bounds).map_err(|e| e.to_string())?.within(budget.clone());
+    let kept = Kept { calls: site.limits.calls as usize, house: OTHER_SOCKETS };
+    let descriptors = site.limits.descriptors;
+    let most = move || descriptors::places(descriptors.min(places::descriptors_allowed()), kept);
+    let places = Places::new(admission(&site, most()?), Clock::new());
+    let blocks = Blocks::open(&site.state, places.clone())?;
     let socket = control::bind(&site.control_socket())?;
     let (inputs, receiver) = door::channel();
     let config = Config {
@@ -53,6 +62,7 @@
         state: site.state.clone(),
         seed: seed(unix),
         sockets: site.limits.descriptors,
+        places: places.clone(),
         memory_bytes: site.limits.memory as usize,
         disk_bytes: site.journal_room(),
         disk_budget: budget,
@@ -64,7 +74,7 @@
     };
     let ends = [SignalKind::terminate(), SignalKind::interrupt()];
     runtime()?.block_on(async {
-        control::start(socket, inputs.clone())?;
+        control::start(socket, inputs.clone(), blocks, most)?;
         serve_until_told(config, inputs, receiver, &ends).await
     })
 }
@@ -108,6 +118,26 @@
     list
 }
 
+/// Who is let in, in the words of the gate.
+fn admission(site: &Site, places: usize) -> foldtrack_admission::Settings {
+    let said = &site.admission;
+    let usual = foldtrack_admission::Settings::for_places(places);
+    let count = |said: Option<u32>, usual: usize| said.map_or(usual, |n| n as usize);
+    foldtrack_admission::Settings {
+        reserve: (said.reserve * usual.places as f64) as usize,
+        per_address: count(said.per_address, usual.per_address),
+        per_known: count(said.per_known, usual.per_known),
+        per_prefix: count(said.per_prefix, usual.per_prefix),
+        v4_prefix: said.v4_prefix,
+        v6_prefix: said.v6_prefix,
+        new_per_second: said.new_per_second,
+        burst: said.burst,
+        requests: count(said.requests, usual.requests),
+        known: said.known.clone(),
+        ..usual
+    }
+}
+
 /// The site in the words of the decision module.
 fn settings(site: &Site) -> Parsed {
     let class = |c: &foldtrack_site::Class| Class {
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -2,6 +2,7 @@
 //! that can't be read.
 
 use socket2::SockRef;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -9,10 +10,14 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{sleep, Sleep};
 
+/// A client that takes nothing of an answer for so long has gone.
+const STALL: Duration = Duration::from_secs(5);
 /// Bytes of a header line that are kept: the names that matter, and any length that can be meant.
 const LINE: usize = 64;
 
@@ -103,8 +108,27 @@
 /// A client's connection whose heads are looked at on their way to hyper.
 #[derive(Debug)]
 pub(crate) struct Scanned {
-    pub stream: TcpStream,
-    pub scan: HeadScan,
+    stream: TcpStream,
+    scan: HeadScan,
+    /// Runs while the client takes nothing of an answer.
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl Scanned {
+    pub fn new(stream: TcpStream, scan: HeadScan) -> Scanned {
+        Scanned { stream, scan, stalled: None }
+    }
+
+    /// Guards against clients that ask and do not read: what is written may not wait for longer than [`STALL`].
+    fn moves<T>(&mut self, cx: &mut Context<'_>, done: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if done.is_ready() {
+            self.stalled = None;
+            return done;
+        }
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(STALL)));
+        ready!(stalled.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl AsyncRead for Scanned {
@@ -119,7 +143,9 @@
 
 impl AsyncWrite for Scanned {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let done = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.moves(cx, done)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
