Speak to partners as they are: paths, headers, answers, Retry-After, limits and proof

Only 200 was a delivery, Retry-After was not read, and nothing proved who calls: a payment that was accepted with 202 was told as in doubt. The package dialect is connected: a partner's site file lines say method, path, headers and what answers mean; usual services by RFC 9110, webhooks by Standard Webhooks. Retry-After is a wait for the whole partner; RateLimit and its kin are a rate that the module keeps to. What a partner refuses for good ends at once, in doubt only where an earlier attempt may have run; a message that can't be put into the dialect ends at once too, where it was tried over and over.

Bearer tokens, basic authentication and signatures come from files that their owner alone may read, zeroed on drop, and are taken anew while the process runs: a token changed under load loses nothing. check tells what messages would lack: a path that needs a key for classes without one, keyed classes to a partner that gets no key. Under the platform one dialect stands for all, the protocol's.

--- a/crates/ends/src/end.rs
+++ b/crates/ends/src/end.rs
@@ -54,6 +54,8 @@
     DidNotRun,
     /// Of an earlier process, which could not tell.
     MayHaveRun,
+    /// Answered that it will never be taken.
+    Refused,
 }
 
 impl Outcome {
@@ -73,12 +75,16 @@
             Outcome::Lost => "lost",
             Outcome::DidNotRun => "did not run",
             Outcome::MayHaveRun => "may have run",
+            Outcome::Refused => "refused",
         }
     }
 
     /// Whether it surely has not run.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::NotConnected | Outcome::NotSent | Outcome::DidNotRun)
+        matches!(
+            self,
+            Outcome::Full | Outcome::NotConnected | Outcome::NotSent | Outcome::DidNotRun | Outcome::Refused
+        )
     }
 }
 
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -3,6 +3,7 @@
 use crate::fields::{by, each, number, text, whole, within, yes_or_no, Fields};
 use crate::finding::{Finding, Findings};
 use crate::model::*;
+use crate::speech;
 use crate::units::{rate, size, span};
 use ipnet::IpNet;
 use std::collections::{BTreeMap, HashMap};
@@ -108,7 +109,7 @@
     let (mut seen, mut numbers) = (Seen::default(), HashMap::new());
     for (name, place, fields) in top.tables("partner", found) {
         check_name(&name, &place, fields.name("").trim_end_matches('.'), found);
-        let partner = partner(name, fields, &kinds, limits.calls, &mut seen, found);
+        let partner = partner(name, fields, (&kinds, &classes), limits.calls, &mut seen, found);
         if let Some(other) = numbers.insert(partner.number(), partner.name.clone()) {
             let problem =
                 format!("can't stand beside {other}: their names have one check sum; change either");
@@ -306,8 +307,8 @@
 }
 
 fn partner(
-    name: String, mut table: Fields<'_, '_>, kinds: &[Kind], calls: u32, seen: &mut Seen,
-    found: &mut Findings<'_>,
+    name: String, mut table: Fields<'_, '_>, (kinds, classes): (&[Kind], &[Class]), calls: u32,
+    seen: &mut Seen, found: &mut Findings<'_>,
 ) -> Partner {
     let known = |text: &str| {
         kinds.iter().position(|k| k.name == text).ok_or_else(|| {
@@ -326,6 +327,7 @@
         let problem = format!("are more than the {calls} calls that limits.calls allows in all");
         found.add(&table.place("slots"), &table.name("slots"), problem);
     }
+    let (dialect, proof) = speech::dialect(&mut table, classes, found);
     let mut endpoints = Vec::new();
     for (endpoint, place, mut fields) in table.tables("endpoint", found) {
         let shown = fields.name("").trim_end_matches('.').to_string();
@@ -346,7 +348,7 @@
         endpoints.push(Endpoint { name: endpoint, address });
     }
     table.done(found);
-    Partner { name, kind, rate, slots, endpoints }
+    Partner { name, kind, rate, slots, endpoints, dialect, proof }
 }
 
 /// Whether a text can name a class, partner or endpoint: it goes into paths, headers and commands as it is.
--- a/crates/site/src/fields.rs
+++ b/crates/site/src/fields.rs
@@ -100,6 +100,26 @@
         tables.collect()
     }
 
+    /// Whether it stands in the file.
+    pub fn is_there(&self) -> bool {
+        self.table.is_some() || self.wrong
+    }
+
+    /// Every field of a table whose names are the site's own, in the order of the file: name, place and text. What is no
+    /// text is told.
+    pub fn texts(&mut self, found: &mut Findings<'_>) -> Vec<(String, Range<usize>, String)> {
+        let mut texts = Vec::new();
+        for (key, value) in self.table.into_iter().flat_map(|t| t.iter()) {
+            let name = key.get_ref().to_string();
+            match text(value.get_ref()) {
+                Ok(text) => texts.push((name, value.span(), text.to_string())),
+                Err(problem) => found.add(&value.span(), &self.name(&name), problem),
+            }
+        }
+        texts.sort_by_key(|(_, place, _)| place.start);
+        texts
+    }
+
     /// A field by its own conversion; `None` if it is missing or wrong, and then it is told.
     pub fn read<T>(
         &mut self, key: &'static str, found: &mut Findings<'_>,
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -1,5 +1,7 @@
 //! What a site is. All spans are microseconds, all sizes bytes, all rates messages a second.
 
+use foldtrack_dialect::Dialect;
+use foldtrack_proof::Kind as ProofKind;
 use ipnet::IpNet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -78,6 +80,19 @@
     pub slots: Option<u32>,
     /// Its endpoints.
     pub endpoints: Vec<Endpoint>,
+    /// How it is spoken to.
+    pub dialect: Dialect,
+    /// How it is proven to it who calls; none if it asks for nothing.
+    pub proof: Option<Proof>,
+}
+
+/// Proof to a partner of who calls. The secret itself is in no site file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// How.
+    pub kind: ProofKind,
+    /// The file of its secret.
+    pub file: PathBuf,
 }
 
 /// What the process may use.
--- a/crates/site/tests/files.rs
+++ b/crates/site/tests/files.rs
@@ -47,6 +47,47 @@
     }
 }
 
+/// How a partner is spoken to: read as it is written, and what messages would lack is told before any is taken on.
+#[test]
+fn how_partners_are_spoken_to_is_read_and_gaps_are_told() {
+    let with = |lines: &str, proof: &str| {
+        let text = TEMPLATE.replace("[partner.pay]\n", &format!("[partner.pay]\n{lines}\n"));
+        format!("{text}\n{proof}\n")
+    };
+    let http = "speaks = \"http\"\npath = \"/v2/charges/{id}\"";
+    let proof = "[partner.pay.proof]\nkind = \"basic\"\nuser = \"hradec\"\nsecret-file = \"/s\"";
+    let more = "[partner.pay.headers]\nX-A = \"a-{class}\"\n[partner.pay.answers]\n409 = \"delivered\"";
+    let site = parse(Path::new("site.toml"), &with(http, &format!("{proof}\n{more}"))).unwrap();
+    let of = |name: &str| site.partners.iter().find(|p| p.name == name).unwrap();
+    let (pay, school) = (of("pay"), of("school-north"));
+    assert_eq!(school.dialect, foldtrack_dialect::Dialect::foldtrack(), "as it always was");
+    assert_eq!(pay.dialect.answers.meaning(409), foldtrack_dialect::Meaning::Delivered);
+    assert_eq!(pay.dialect.headers.len(), 1);
+    assert_eq!(pay.proof.as_ref().unwrap().kind, foldtrack_proof::Kind::Basic { user: "hradec".into() });
+    for (lines, proof, told) in [
+        ("speaks = \"soap\"", "", "no way to speak"),
+        ("speaks = \"http\"", "", "path: is missing"),
+        ("speaks = \"http\"\npath = \"/{key}\"", "", "names {key}, which messages of fee-payment don't have"),
+        ("speaks = \"http\"\npath = \"/{kez}\"", "", "{kez} is no place"),
+        (&format!("{http}\nkey-header = \"\""), "", "submission-update go again with the same key"),
+        (&format!("{http}\nkey-header = \"Content-Length\""), "", "is set by foldtrack itself"),
+        (&format!("{http}\nmethod = \"GET\""), "", "can't carry a message"),
+        (&format!("{http}\nhost = \"a b\""), "", "is no host"),
+        ("speaks = \"webhook\"\npath = \"/\"", "", "a webhook is signed"),
+        (http, "[partner.pay.proof]\nkind = \"bearer\"", "secret-file: is missing"),
+        (http, "[partner.pay.proof]\nuser = \"u\"\nsecret-file = \"/s\"", "stands with kind = \"basic\""),
+        (http, "[partner.pay.headers]\nHost = \"x\"", "is set by foldtrack itself"),
+        (http, "[partner.pay.headers]\nIdempotency-Key = \"x\"", "is set by another field"),
+        (http, "[partner.pay.headers]\nX-A = 7", "a text in quotes"),
+        (http, "[partner.pay.answers]\n99 = \"wait\"", "no status or range"),
+        (http, "[partner.pay.answers]\n\"400-410\" = \"wait\"\n404 = \"refused\"", "overlaps 400-410"),
+        (http, "[partner.pay.answers]\n404 = \"gone\"", "is no meaning"),
+    ] {
+        let found = findings(&with(lines, proof));
+        assert!(found.len() == 1 && found[0].contains(told), "{lines} {proof}: {found:?}");
+    }
+}
+
 /// One reading tells them all, each at its own line, with what would be right.
 #[test]
 fn twenty_mistakes_and_more_give_a_finding_each_in_their_order() {
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -6,6 +6,7 @@
 use crate::membership::Membership;
 use crate::places::Places;
 use crate::platform::Agent;
+use crate::speech::Speeches;
 use foldtrack_admission::Settings as Admission;
 use foldtrack_ends::Store;
 use foldtrack_journal::Budget;
@@ -32,6 +33,8 @@
     /// The disk counts as no larger: a rehearsal.
     pub disk_budget: Option<Budget>,
     pub settings: Parsed,
+    /// How destinations are spoken to.
+    pub speeches: Speeches,
     pub membership: Box<dyn Membership>,
     /// The platform's taker of notices; none at a site of its own.
     pub discovery: Option<watch::Sender<SocketAddr>>,
@@ -130,6 +133,7 @@
             disk_bytes: disk_bytes as u64,
             disk_budget: None,
             settings: file.settings,
+            speeches: Speeches::platform(),
             membership: Box::new(Agent { discovery: discovery.clone(), known: file.known }),
             discovery: Some(discovery),
             durable: false,
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -141,8 +141,10 @@
     pub target: TargetId,
     pub begun: Instant,
     pub outcome: Outcome,
-    /// The answer says that nothing is owed for the message any more.
+    /// Nothing is owed for the message any more.
     pub over: bool,
+    /// The partner will never take it, or it can't be sent to this one.
+    pub refused: bool,
     /// Nothing is to be sent to the destination until then.
     pub wait_until: Option<Instant>,
     pub report: Option<LimitReport>,
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -109,6 +109,7 @@
         self.calls.insert((number, attempt), cancel);
         let connection = self.idle.take(target);
         let descriptor = if connection.is_none() { self.draw_for_a_call() } else { None };
+        let speech = self.speeches.of(message.destination);
         let call = Call {
             number,
             attempt,
@@ -120,6 +121,8 @@
             until: self.clock.instant(until),
             connection,
             descriptor,
+            speech,
+            settings: self.settings.clone(),
             reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
         };
         self.durable.gathering.calls.push((ticket, call, cancelled));
@@ -151,7 +154,7 @@
         let tries = self.messages.get(&end.number).map(|h| h.tries);
         let held = tries.is_some();
         if end.over && end.outcome != Outcome::Ok && self.site.is_some() {
-            // Withdrawn where it was to go: it has had no effect.
+            // Withdrawn where it was to go, or refused for good: this attempt has had no effect.
             self.end(end.number, Notice::GivenUp);
         } else if end.over {
             self.delivered(end.number);
@@ -190,7 +193,7 @@
         let attempt = held.history.len() as u32;
         let Some(tried) = held.history.last_mut() else { return };
         tried.until = self.clock.unix(self.clock.now());
-        tried.outcome = kept(end.outcome);
+        tried.outcome = if end.refused { ends::Outcome::Refused } else { kept(end.outcome) };
         if end.outcome == Outcome::Ok {
             return;
         }
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -187,6 +187,7 @@
             begun: Instant::now(),
             outcome: Outcome::NotSent,
             over: false,
+            refused: false,
             wait_until: None,
             report: None,
             idle,
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -22,6 +22,7 @@
 use crate::membership::Membership;
 use crate::message::Message;
 use crate::notices::Notices;
+use crate::speech::Speeches;
 use crate::table::{Ids, Targets};
 use appliance::{Appliance, LONGEST_NAME};
 use foldtrack_admission::Party;
@@ -118,6 +119,7 @@
     calls: BTreeMap<(u64, u32), oneshot::Sender<()>>,
     idle: IdleConnections,
     descriptors: Arc<Descriptors>,
+    speeches: Speeches,
     swept: Instant,
     targets: Targets,
     ids: Ids,
@@ -176,6 +178,7 @@
         calls: BTreeMap::new(),
         idle: IdleConnections::new(conn_idle, share.saturating_sub(slots).max(share / 4)),
         descriptors: config.descriptors,
+        speeches: config.speeches,
         swept: Instant::now(),
         targets: Targets::default(),
         ids: Ids::default(),
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -8,7 +8,7 @@
 use crate::door;
 use crate::membership::SiteMembership;
 use crate::places::Places;
-use crate::{runtime, serve_until_told};
+use crate::{logs, runtime, serve_until_told, speech};
 use foldtrack_admission::descriptors::{self, Kept};
 use foldtrack_admission::Rate;
 use foldtrack_ends::shelf::Bounds;
@@ -64,6 +64,8 @@
     let places = Places::new(admission(&site, places), Clock::new(), ledger.clone());
     let blocks = Blocks::open(&site.state, places.clone(), site.listen.port())?;
     let socket = control::bind(&site.control_socket())?;
+    let (speeches, keeper) = speech::of_site(&site)?;
+    let _logs = (!keeper.is_idle()).then(logs::start);
     let (inputs, receiver) = door::channel();
     let config = Config {
         listen: site.listen,
@@ -76,6 +78,7 @@
         disk_bytes: site.journal_room(),
         disk_budget: budget,
         settings: settings(&site),
+        speeches,
         membership: Box::new(SiteMembership::new(log, site.clone())),
         discovery: None,
         durable: site.durability == Durability::Machine,
@@ -83,6 +86,7 @@
     };
     let ends = [SignalKind::terminate(), SignalKind::interrupt()];
     runtime()?.block_on(async {
+        keeper.start();
         control::start(socket, inputs.clone(), blocks, ledger, most)?;
         serve_until_told(config, inputs, receiver, &ends).await
     })
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -188,11 +188,14 @@
         self.first().clear();
     }
 
-    /// Whether the first line of the answer says 200, whatever follows it.
-    pub fn says_ok(&self) -> bool {
+    /// The status in the first line of the answer, whatever follows it.
+    pub fn status(&self) -> Option<u16> {
         let first = self.first();
         let line = behind_interim(&first).strip_prefix(b"HTTP/1.").unwrap_or_default();
-        matches!(line, [b'0' | b'1', b' ', b'2', b'0', b'0', b' ' | b'\r' | b'\n', ..])
+        let [b'0' | b'1', b' ', a, b, c, b' ' | b'\r' | b'\n', ..] = line else { return None };
+        let status = [*a, *b, *c];
+        let digits = status.iter().all(u8::is_ascii_digit);
+        std::str::from_utf8(&status).ok().filter(|_| digits)?.parse().ok()
     }
 
     /// Whether an answer has begun, behind those that are only interim.
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -4,15 +4,19 @@
 use crate::descriptors::Drawn;
 use crate::door::{CallEnd, Input, Inputs};
 use crate::message::Message;
-use bytes::Bytes;
+use crate::speech::Speech;
+use crate::streams::Tap;
+use foldtrack_dialect::{Dialect, Meaning, Outgoing, Values};
+use hatchline::settings::Parsed;
 use hatchline::{LimitReport, Outcome, TargetId};
+use http::request::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, CONTENT_TYPE, HOST};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::header::HeaderMap;
+use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -40,8 +44,18 @@
     pub connection: Option<(Connection, Duration)>,
     /// For a new connection; none if there is none left for calls.
     pub descriptor: Option<Drawn>,
-    /// Answers told as limit reports.
+    /// Answers told as limit reports (PROTOCOL).
     pub reports: bool,
+    /// How its partner is spoken to.
+    pub speech: Arc<Speech>,
+    pub settings: Arc<Parsed>,
+}
+
+/// Why there is no answer to read.
+enum Unsent {
+    By(Outcome),
+    /// The message lacks what this partner's dialect needs, whenever it is sent.
+    Never,
 }
 
 /// Makes one call and tells its end: exactly once, and never tries again by itself.
@@ -53,6 +67,7 @@
         begun: Instant::now(),
         outcome: Outcome::ConnectFailed,
         over: false,
+        refused: false,
         wait_until: None,
         report: None,
         idle: call.connection.as_ref().map(|(_, idle)| *idle),
@@ -67,6 +82,8 @@
         address,
         reports,
         longest_wait,
+        speech,
+        settings,
         ..
     } = call;
     let reused = idle.is_some();
@@ -78,39 +95,42 @@
             None => {
                 match timeout(
                     dial_timeout,
-                    Connection::open(address, Some(descriptor.ok_or(Outcome::NotSent)?)),
+                    Connection::open(address, Some(descriptor.ok_or(Unsent::By(Outcome::NotSent))?)),
                 )
                 .await
                 {
                     Ok(Ok(connection)) => connection,
                     // Out of descriptors here: that says nothing of the target.
                     Ok(Err(e)) if OWN_LIMITS.map(Some).contains(&e.raw_os_error()) => {
-                        return Err(Outcome::NotSent)
+                        return Err(Unsent::By(Outcome::NotSent))
                     }
-                    _ => return Err(Outcome::ConnectFailed),
+                    _ => return Err(Unsent::By(Outcome::ConnectFailed)),
                 }
             }
         };
-        let request = request(&message, address, until).ok_or(Outcome::NotSent)?;
+        let request = Request::from_parts(
+            head(&message, address, until, &speech, &settings)?,
+            Full::new(message.body.clone()),
+        );
         handed_over = Some(connection.tap.clone());
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
             // A connection that was closed while it stood idle tells nothing of the target's health.
-            Err(Failure::Unsent) if reused => Err(Outcome::NotSent),
-            Err(Failure::Unsent) => Err(Outcome::ConnectFailed),
-            Err(Failure::Broken) => Err(Outcome::Reset),
-            Err(Failure::Spoilt) => Err(Outcome::Spoilt),
+            Err(Failure::Unsent) if reused => Err(Unsent::By(Outcome::NotSent)),
+            Err(Failure::Unsent) => Err(Unsent::By(Outcome::ConnectFailed)),
+            Err(Failure::Broken) => Err(Unsent::By(Outcome::Reset)),
+            Err(Failure::Spoilt) => Err(Unsent::By(Outcome::Spoilt)),
         }
     };
     let answer = tokio::select! {
         biased;
         answer = exchange => answer.map_err(Some),
         () = sleep_until(until) => Err(None),
-        Ok(()) = &mut cancelled => Err(Some(Outcome::Cancelled)),
+        Ok(()) = &mut cancelled => Err(Some(Unsent::By(Outcome::Cancelled))),
     };
     match answer {
         Ok((mut connection, response)) => {
-            read_head(&mut end, &response, reports, longest_wait);
+            read_head(&mut end, &response, &speech.dialect, reports, longest_wait);
             let response_status = response.status();
             let rest = timeout(REST_WAIT, connection.finish(response.into_body(), REST_BYTES)).await;
             // After a switch of protocols it speaks another one.
@@ -118,51 +138,62 @@
             end.connection = usable.then_some(connection);
         }
         // The first line is true though nothing else of the answer can be read: the message is delivered.
-        Err(_) if handed_over.as_ref().is_some_and(|tap| tap.says_ok()) => {
+        Err(_) if handed_over.as_ref().is_some_and(|tap| delivers(tap, &speech.dialect)) => {
             (end.outcome, end.over) = (Outcome::Ok, true);
         }
-        Err(Some(Outcome::Cancelled)) if handed_over.is_none() => end.outcome = Outcome::NotSent,
+        Err(Some(Unsent::Never)) => (end.outcome, end.over, end.refused) = (Outcome::NotSent, true, true),
+        Err(Some(Unsent::By(Outcome::Cancelled))) if handed_over.is_none() => end.outcome = Outcome::NotSent,
         Err(None) if handed_over.is_none() => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
-        Err(Some(outcome)) => end.outcome = outcome,
+        Err(Some(Unsent::By(outcome))) => end.outcome = outcome,
     }
     inputs.send(Input::CallEnded(end));
 }
 
-fn request(message: &Message, address: SocketAddr, until: Instant) -> Option<Request<Full<Bytes>>> {
-    let left = until.saturating_duration_since(Instant::now()).as_micros();
-    let mut request = Request::builder()
-        .method(Method::POST)
-        .uri("/v1/messages")
-        .header(HOST, address.to_string())
-        .header("X-Request-Id", &message.id)
-        .header("X-Deadline", format!("{left}u"))
-        .header(CONTENT_TYPE, "application/octet-stream");
-    if let Some(key) = &message.idempotency_key {
-        request = request.header("Idempotency-Key", key);
-    }
-    request.body(Full::new(message.body.clone())).ok()
+/// The head of the request.
+fn head(
+    message: &Message, address: SocketAddr, until: Instant, speech: &Speech, settings: &Parsed,
+) -> Result<Parts, Unsent> {
+    let left = until.saturating_duration_since(Instant::now()).as_micros() as u64;
+    let class = settings.class_names.get(message.class).map_or("", String::as_str);
+    let outgoing = Outgoing {
+        values: Values { id: &message.id, class, key: &message.key },
+        idempotency_key: message.idempotency_key.as_deref(),
+        authority: &address.to_string(),
+        left,
+    };
+    speech.head(&outgoing, &message.body).map_err(|_| Unsent::Never)
+}
+
+/// Whether what has come of an answer says that the message is delivered.
+fn delivers(tap: &Tap, dialect: &Dialect) -> bool {
+    tap.status().is_some_and(|status| dialect.answers.meaning(status) == Meaning::Delivered)
 }
 
-/// What an answer means, by the table of the protocol. What is not in it may have run.
-fn read_head(end: &mut CallEnd, response: &Response<Incoming>, reports: bool, longest_wait: Duration) {
+/// What an answer means, by its partner's table. What is not in it may have run.
+fn read_head(
+    end: &mut CallEnd, response: &Response<Incoming>, dialect: &Dialect, reports: bool,
+    longest_wait: Duration,
+) {
     let headers = response.headers();
-    end.outcome = match response.status() {
-        StatusCode::OK => Outcome::Ok,
-        StatusCode::TOO_MANY_REQUESTS => Outcome::Full,
-        StatusCode::SERVICE_UNAVAILABLE if headers.contains_key("X-Line-Busy") => Outcome::NotSent,
-        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
-        StatusCode::GATEWAY_TIMEOUT | StatusCode::GONE => Outcome::NotSent,
-        _ => Outcome::Error,
+    let meaning = dialect.meaning(response.status().as_u16(), headers);
+    end.outcome = match meaning {
+        Meaning::Delivered => Outcome::Ok,
+        Meaning::Wait => Outcome::Full,
+        Meaning::NotSent | Meaning::Over | Meaning::RefusedForGood => Outcome::NotSent,
+        Meaning::HasNotRun => Outcome::ConnectFailed,
+        Meaning::MayHaveRun => Outcome::Error,
     };
-    end.over = matches!(response.status(), StatusCode::OK | StatusCode::GONE);
+    end.over = matches!(meaning, Meaning::Delivered | Meaning::Over | Meaning::RefusedForGood);
+    end.refused = meaning == Meaning::RefusedForGood;
     if end.outcome == Outcome::Full {
-        let wait = text(headers, "X-Come-Back-Ms").and_then(|ms| ms.trim().parse::<f64>().ok());
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
         // A huge one would shut the destination for good, or overflow and not be heeded at all.
-        let wait = wait.filter(|ms| *ms >= 0.0).map(|ms| ms.min(longest_wait.as_secs_f64() * 1e3));
-        end.wait_until = wait.map(|ms| Instant::now() + Duration::from_secs_f64(ms / 1e3));
+        let wait = dialect.wait(headers, unix, longest_wait.as_micros() as u64);
+        end.wait_until = wait.map(|wait| Instant::now() + Duration::from_micros(wait));
     }
-    end.report = text(headers, "X-Load").filter(|_| reports).and_then(limit_report);
+    let told = dialect.limit(headers).map(|limit| LimitReport { share_left: limit.left, rate: limit.rate });
+    end.report = told.or_else(|| text(headers, "X-Load").filter(|_| reports).and_then(limit_report));
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod floods;
 mod kills;
 mod load;
+mod partners;
 mod world;
 
 use foldtrack_control::{Ask, Told, Trouble};
--- a/tests/site/world.rs
+++ b/tests/site/world.rs
@@ -24,6 +24,8 @@
     pub update_deadline: &'static str,
     /// How long partners remember the key of an update.
     pub remembered: String,
+    /// Lines of the partner `p`.
+    pub partner: String,
 }
 
 impl Plan {
@@ -36,6 +38,7 @@
             durability: "process",
             update_deadline: "24s",
             remembered: "20s".into(),
+            partner: String::new(),
         }
     }
 
@@ -50,8 +53,8 @@
             "[site]\nlisten = \"{listen}\"\nstate = \"{state}\"\ndurability = \"{}\"\n[limits]\n{}\n{}[ends]\n{}\n\
              [class.update]\neffect = \"keyed\"\nremembered = \"{}\"\nordered = true\naim = \"{}\"\ndeadline = \"{}\"\n\
              [class.fee]\neffect = \"once\"\naim = \"3s\"\ndeadline = \"24s\"\nworth = 3\n\
-             [class.note]\neffect = \"repeatable\"\ndeadline = \"24s\"\n[partner.p]\n",
-            self.durability, self.limits, admission, self.ends, self.remembered, aim, self.update_deadline
+             [class.note]\neffect = \"repeatable\"\ndeadline = \"24s\"\n[partner.p]\n{}",
+            self.durability, self.limits, admission, self.ends, self.remembered, aim, self.update_deadline, self.partner
         );
         for (partner, name, address) in &self.endpoints {
             text += &format!("[partner.{partner}.endpoint.{name}]\naddress = \"{address}\"\n");
