--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -460,6 +460,8 @@
     pub outcome: String,
     /// It ran, or nobody can tell.
     pub may_have_run: bool,
+    /// Why there was no connection, in words; empty if there was one.
+    pub cause: String,
     /// What was done about it: `waits`, `sent again`, or how the message ended.
     pub then: String,
 }
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -328,6 +328,7 @@
         found.add(&table.place("slots"), &table.name("slots"), problem);
     }
     let (dialect, proof) = speech::dialect(&mut table, classes, found);
+    let tls = speech::tls(&mut table, &dialect, proof.is_some(), found);
     let mut endpoints = Vec::new();
     for (endpoint, place, mut fields) in table.tables("endpoint", found) {
         let shown = fields.name("").trim_end_matches('.').to_string();
@@ -348,7 +349,7 @@
         endpoints.push(Endpoint { name: endpoint, address });
     }
     table.done(found);
-    Partner { name, kind, rate, slots, endpoints, dialect, proof }
+    Partner { name, kind, rate, slots, endpoints, dialect, proof, tls }
 }
 
 /// Whether a text can name a class, partner or endpoint: it goes into paths, headers and commands as it is.
--- a/crates/site/src/fields.rs
+++ b/crates/site/src/fields.rs
@@ -120,6 +120,16 @@
         texts
     }
 
+    /// The texts that a field has in the tables below one of this table.
+    pub fn texts_below(&self, tables: &str, field: &str) -> Vec<&'a str> {
+        let below = |table: &'a DeTable<'i>, key: &str| {
+            table.iter().find(|(k, _)| k.get_ref() == key).map(|(_, value)| value.get_ref())
+        };
+        let all = self.table.and_then(|t| below(t, tables)).and_then(|v| v.as_table());
+        let each = all.into_iter().flat_map(|t| t.iter()).filter_map(|(_, v)| v.get_ref().as_table());
+        each.filter_map(|t| below(t, field)?.as_str()).collect()
+    }
+
     /// A field by its own conversion; `None` if it is missing or wrong, and then it is told.
     pub fn read<T>(
         &mut self, key: &'static str, found: &mut Findings<'_>,
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -2,6 +2,7 @@
 
 use foldtrack_dialect::Dialect;
 use foldtrack_proof::Kind as ProofKind;
+use foldtrack_tls::Plan;
 use ipnet::IpNet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -84,6 +85,19 @@
     pub dialect: Dialect,
     /// How it is proven to it who calls; none if it asks for nothing.
     pub proof: Option<Proof>,
+    /// Its connections are encrypted; none for plain ones.
+    pub tls: Option<Tls>,
+}
+
+/// TLS to a partner. What it is made from stands in files of its own.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tls {
+    /// Name, pins and versions.
+    pub plan: Plan,
+    /// Whom to trust; none for those whom the system trusts.
+    pub roots: Option<PathBuf>,
+    /// The certificate that is shown, and its key.
+    pub client: Option<(PathBuf, PathBuf)>,
 }
 
 /// Proof to a partner of who calls. The secret itself is in no site file.
--- a/crates/site/src/speech.rs
+++ b/crates/site/src/speech.rs
@@ -1,10 +1,11 @@
 //! How a partner is spoken to, and how it is proven who calls: the fields of `[partner.NAME]` that say so.
 
-use crate::fields::{by, number, text, within, Fields};
+use crate::fields::{by, each, number, text, within, Fields};
 use crate::finding::Findings;
-use crate::model::{Class, Effect, Proof};
+use crate::model::{Class, Effect, Proof, Tls};
 use foldtrack_dialect::{header_name, Dialect, Table, Template};
 use foldtrack_proof::Kind;
+use foldtrack_tls::{Pin, Plan, MOST_PINS};
 use std::path::PathBuf;
 
 /// Longest host name (RFC 1035, section 2.3.4), with a port.
@@ -209,3 +210,63 @@
     };
     Some(Proof { kind, file })
 }
+
+/// Reads whether and how connections to a partner are encrypted.
+pub(crate) fn tls(
+    table: &mut Fields<'_, '_>, dialect: &Dialect, proves: bool, found: &mut Findings<'_>,
+) -> Option<Tls> {
+    let mut own = table.table("tls", found);
+    if !own.is_there() {
+        if proves && !endpoints_are_local(table) {
+            let problem = "is missing: the proof of who calls would go over the wire in plain text";
+            found.add(&table.span, &table.name("tls"), problem);
+        }
+        return None;
+    }
+    // `Host` may have a port, and the address of version 6 stands in brackets there.
+    let host = dialect.host.as_deref().map(|host| match host.strip_prefix('[') {
+        Some(rest) => rest.split(']').next().unwrap_or(rest),
+        None => host.split(':').next().unwrap_or(host),
+    });
+    let name = own.read("server-name", found, by(Plan::name)).flatten();
+    let name = name.or_else(|| host.and_then(|host| Plan::name(host).ok()));
+    if name.is_none() && own.place("server-name") == own.span {
+        let problem =
+            "is missing, and the partner has no host: for example: server-name = \"api.example.cz\"";
+        found.add(&own.span, &own.name("server-name"), problem);
+    }
+    let pins = own.or("pins", Vec::new(), found, each(Pin::read));
+    if pins.len() > MOST_PINS {
+        found.add(&own.place("pins"), &own.name("pins"), format!("are more than {MOST_PINS}"));
+    }
+    let only_13 = own.or(
+        "least-version",
+        false,
+        found,
+        by(|word| match word {
+            "1.2" => Ok(false),
+            "1.3" => Ok(true),
+            _ => Err(format!("{word:?} is no version that is spoken; one is \"1.2\" or \"1.3\"")),
+        }),
+    );
+    let path = |word: &str| match word.trim() {
+        "" => Err("is empty; name a file".to_string()),
+        path => Ok(Some(PathBuf::from(path))),
+    };
+    let roots = own.or("roots", None, found, by(path));
+    let chain = own.or("client-certificate", None, found, by(path));
+    let key = own.or("client-key", None, found, by(path));
+    if chain.is_some() != key.is_some() {
+        let lacks = if chain.is_some() { "client-key" } else { "client-certificate" };
+        found.add(&own.span, &own.name(lacks), "is missing: a certificate and its key stand together");
+    }
+    own.done(found);
+    let plan = Plan { name: name?, pins, only_13 };
+    Some(Tls { plan, roots, client: chain.zip(key) })
+}
+
+/// Whether every endpoint of a partner is on this machine.
+fn endpoints_are_local(table: &Fields<'_, '_>) -> bool {
+    let addresses = table.texts_below("endpoint", "address");
+    addresses.iter().all(|a| a.parse::<std::net::SocketAddr>().is_ok_and(|a| a.ip().is_loopback()))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! [`http`] is a server with a thread for each connection that behaves as a closure says; [`Partner`] an outside
 //! partner with a pace, a limit and faults by a seed, which keeps books of every call; [`books`] checks the rules from
-//! them, knowing nothing of what the forwarder says of itself.
+//! them, knowing nothing of what the forwarder says of itself; `tls`, behind the feature of that name, puts TLS in front of any of
+//! them, with an authority of its own.
 #![warn(missing_docs)]
 
 pub mod books;
 pub mod http;
 mod partner;
+#[cfg(feature = "tls")]
+pub mod tls;
 
 pub use partner::{Conduct, Kind, Partner};
 
--- /dev/null
+++ b/crates/standin/src/tls.rs
@@ -0,0 +1,226 @@
+//! TLS in front of a stand-in, with an authority of its own: certificates right and wrong, and a handshake that stands still
+//! after so many bytes.
+
+use rcgen::{CertificateParams, DnType, ExtendedKeyUsagePurpose, Issuer, KeyPair, KeyUsagePurpose};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::thread;
+use std::time::Duration;
+use tokio::io::{copy_bidirectional, AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_rustls::rustls::pki_types::PrivatePkcs8KeyDer;
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+use tokio_rustls::rustls::{HandshakeKind, RootCertStore, ServerConfig};
+use tokio_rustls::TlsAcceptor;
+
+/// Signs certificates.
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    /// What those who trust it read.
+    pub pem: String,
+    der: rcgen::Certificate,
+}
+
+/// A certificate and its key.
+pub struct Issued {
+    certificate: rcgen::Certificate,
+    key: KeyPair,
+}
+
+impl Issued {
+    /// In PEM.
+    pub fn certificate_pem(&self) -> String {
+        self.certificate.pem()
+    }
+
+    /// In PEM.
+    pub fn key_pem(&self) -> String {
+        self.key.serialize_pem()
+    }
+}
+
+impl Authority {
+    /// A new one.
+    ///
+    /// # Panics
+    /// No key can be made.
+    pub fn new(name: &str) -> Authority {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(Vec::new()).expect("no names");
+        params.distinguished_name.push(DnType::CommonName, name);
+        params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+        let der = params.self_signed(&key).expect("a certificate");
+        Authority { pem: der.pem(), issuer: Issuer::new(params, key), der }
+    }
+
+    /// A certificate for these names, valid from and to the first day of these years.
+    ///
+    /// # Panics
+    /// A name can't stand in a certificate.
+    pub fn issue(&self, names: &[String], (from, to): (i32, i32)) -> Issued {
+        let key = KeyPair::generate().expect("a key");
+        let mut params = CertificateParams::new(names.to_vec()).expect("names");
+        params.distinguished_name.push(DnType::CommonName, names.first().map_or("", String::as_str));
+        params.not_before = rcgen::date_time_ymd(from, 1, 1);
+        params.not_after = rcgen::date_time_ymd(to, 1, 1);
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        Issued { certificate: params.signed_by(&key, &self.issuer).expect("a certificate"), key }
+    }
+
+    /// What a server of a certificate needs; with `clients`, clients have to show one of that authority.
+    ///
+    /// # Panics
+    /// The certificate can't be used.
+    pub fn server(issued: &Issued, clients: Option<&Authority>) -> Arc<ServerConfig> {
+        let provider = Arc::new(foldtrack_tls::provider());
+        let builder = ServerConfig::builder_with_provider(provider.clone())
+            .with_safe_default_protocol_versions()
+            .expect("versions");
+        let builder = match clients {
+            None => builder.with_no_client_auth(),
+            Some(authority) => {
+                let mut roots = RootCertStore::empty();
+                roots.add(authority.der.der().clone()).expect("a root");
+                let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider);
+                builder.with_client_cert_verifier(verifier.build().expect("roots"))
+            }
+        };
+        let key = PrivatePkcs8KeyDer::from(issued.key.serialize_der());
+        let config = builder.with_single_cert(vec![issued.certificate.der().clone()], key.into());
+        Arc::new(config.expect("a certificate and its key"))
+    }
+}
+
+/// How a front behaves.
+#[derive(Clone)]
+struct Conduct {
+    config: Arc<ServerConfig>,
+    /// Bytes after which it says nothing more.
+    stall_after: Option<usize>,
+    /// What a handshake takes longer than it must.
+    delay: Duration,
+}
+
+/// TLS in front of a plain server.
+pub struct Front {
+    /// Where it listens.
+    pub address: SocketAddr,
+    conduct: Mutex<Conduct>,
+    /// Handshakes done in full, resumed, and broken off.
+    pub full: AtomicUsize,
+    /// See `full`.
+    pub resumed: AtomicUsize,
+    /// See `full`.
+    pub broken: AtomicUsize,
+}
+
+impl Front {
+    /// Starts one before a server.
+    ///
+    /// # Panics
+    /// There is no port, descriptor or thread left.
+    pub fn start(to: SocketAddr, config: Arc<ServerConfig>) -> Arc<Front> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
+        listener.set_nonblocking(true).expect("a listener that does not block");
+        let front = Arc::new(Front {
+            address: listener.local_addr().expect("the address of a bound socket"),
+            conduct: Mutex::new(Conduct { config, stall_after: None, delay: Duration::ZERO }),
+            full: AtomicUsize::new(0),
+            resumed: AtomicUsize::new(0),
+            broken: AtomicUsize::new(0),
+        });
+        let shared = front.clone();
+        thread::spawn(move || {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(async {
+                let listener = TcpListener::from_std(listener).expect("a listener");
+                loop {
+                    match listener.accept().await {
+                        Ok((stream, _)) => drop(tokio::spawn(shared.clone().serve(stream, to))),
+                        Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+                    }
+                }
+            });
+        });
+        front
+    }
+
+    fn conduct(&self) -> MutexGuard<'_, Conduct> {
+        self.conduct.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Shows another certificate from the next connection on.
+    pub fn change(&self, config: Arc<ServerConfig>) {
+        self.conduct().config = config;
+    }
+
+    /// Stands still after so many bytes of its own, from the next connection on; none to go on.
+    pub fn stall_after(&self, bytes: Option<usize>) {
+        self.conduct().stall_after = bytes;
+    }
+
+    /// Takes so much longer for each handshake.
+    pub fn delay(&self, delay: Duration) {
+        self.conduct().delay = delay;
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream, to: SocketAddr) {
+        let Conduct { config, stall_after, delay } = self.conduct().clone();
+        let _ = stream.set_nodelay(true);
+        tokio::time::sleep(delay).await;
+        let stream = Stalling { stream, left: stall_after };
+        let Ok(mut stream) = TlsAcceptor::from(config).accept(stream).await else {
+            self.broken.fetch_add(1, Ordering::SeqCst);
+            return;
+        };
+        let resumed = stream.get_ref().1.handshake_kind() == Some(HandshakeKind::Resumed);
+        let count = if resumed { &self.resumed } else { &self.full };
+        count.fetch_add(1, Ordering::SeqCst);
+        let Ok(mut plain) = TcpStream::connect(to).await else { return };
+        let _ = plain.set_nodelay(true);
+        let _ = copy_bidirectional(&mut stream, &mut plain).await;
+    }
+}
+
+/// A stream that takes so many bytes and then stands still.
+struct Stalling {
+    stream: TcpStream,
+    left: Option<usize>,
+}
+
+impl AsyncRead for Stalling {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Stalling {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let most = self.left.unwrap_or(usize::MAX).min(bytes.len());
+        if most == 0 && !bytes.is_empty() {
+            return Poll::Pending;
+        }
+        let done = Pin::new(&mut self.stream).poll_write(cx, &bytes[..most]);
+        if let (Poll::Ready(Ok(count)), Some(left)) = (&done, &mut self.left) {
+            *left -= count;
+        }
+        done
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/bin/foldtrack/cli/ends.rs
+++ b/src/bin/foldtrack/cli/ends.rs
@@ -57,7 +57,7 @@
     let told = |e: &dyn std::fmt::Display| format!("{to}: {e}");
     let request =
         Request::get(path).header(HOST, to.to_string()).body(Full::default()).map_err(|e| told(&e))?;
-    let mut connection = Connection::open(to, None).await.map_err(|e| told(&e))?;
+    let mut connection = Connection::open(to, None, None).await.map_err(|e| told(&e))?;
     let response = timeout(ANSWER, connection.send(request)).await.map_err(|e| told(&e))?;
     let response = response.map_err(|_| told(&"the connection broke"))?;
     let status = response.status();
--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod ends;
 mod journal;
+mod keys;
 mod load;
 mod orders;
 mod send;
@@ -54,6 +55,12 @@
         #[arg(default_value = "site.toml")]
         site: PathBuf,
     },
+    /// Which files prove whom to which partner, and until when; no secret is shown
+    Keys {
+        /// The site file
+        #[arg(default_value = "site.toml", env = "FOLDTRACK_SITE")]
+        site: PathBuf,
+    },
     /// Writes a commented site file to begin with
     Init {
         /// Where to; `-` for standard output
@@ -270,6 +277,7 @@
             let path = site.display();
             say(&format!("{path}: sound: {classes} classes, {partners} partners, {endpoints} endpoints\n"))
         }
+        Command::Keys { site } => keys::keys(&site),
         Command::Init { file } => init(&file),
         Command::Status(asked) => asked.show(Ask::Status),
         Command::Partners(asked) => asked.show(Ask::Partners),
--- a/src/bin/foldtrack/cli/send.rs
+++ b/src/bin/foldtrack/cli/send.rs
@@ -418,7 +418,7 @@
 ) -> Option<(StatusCode, Duration, Bytes)> {
     let mut open = match connection.take() {
         Some(open) => open,
-        None => timeout(ANSWER, Connection::open(to, None)).await.ok()?.ok()?,
+        None => timeout(ANSWER, Connection::open(to, None, None)).await.ok()?.ok()?,
     };
     let response = timeout(ANSWER, open.send(request)).await.ok()?.ok()?;
     let (status, headers) = (response.status(), response.headers().clone());
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -275,7 +275,7 @@
             f.class.clone(),
             f.endpoint.clone(),
             f.attempt.to_string(),
-            f.outcome.clone(),
+            if f.cause.is_empty() { f.outcome.clone() } else { format!("{}: {}", f.outcome, f.cause) },
             if f.may_have_run { "may have run" } else { "did not run" }.into(),
             f.then.clone(),
         ]
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -14,9 +14,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
+use tokio_rustls::rustls::pki_types::ServerName;
+use tokio_rustls::rustls::{self, ClientConfig};
+use tokio_rustls::TlsConnector;
 
 /// A head that has begun ends within this span, or it can't be read.
 const HEAD_WAIT: Duration = Duration::from_millis(250);
@@ -36,6 +41,14 @@
 /// Bytes of an answer's head that are kept before it is given up.
 const HEAD_BYTES: usize = 16 * 1024;
 
+/// How connections to a partner are encrypted.
+#[derive(Clone, Debug)]
+pub(crate) struct Encryption {
+    pub name: ServerName<'static>,
+    /// As the files are now; connections that are open keep theirs.
+    pub config: watch::Receiver<Arc<ClientConfig>>,
+}
+
 /// An HTTP connection. It closes when this is dropped, also in the middle of a call.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -56,18 +69,34 @@
     /// It was handed back before a byte of it was written.
     Unsent,
     Broken,
+    /// The partner has broken the handshake off by an alert that came behind it, before anything else: nothing that was
+    /// written has been read as a request.
+    Refused(String),
     /// What has come of it can't be read.
     Spoilt,
 }
 
 impl Connection {
-    /// `descriptor` is what was drawn for it; none for the house's own, which are counted by their number.
-    pub async fn open(address: SocketAddr, descriptor: Option<Drawn>) -> io::Result<Connection> {
+    /// Opens one, encrypted if `tls` says how. `descriptor` is what was drawn for it; none for the house's own, which are
+    /// counted by their number.
+    pub async fn open(
+        address: SocketAddr, tls: Option<&Encryption>, descriptor: Option<Drawn>,
+    ) -> io::Result<Connection> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let tap = Tap::new(stream);
-        let io = TokioIo::new(Tapped(tap.clone()));
-        let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(io).await;
+        let Some(tls) = tls else {
+            return Connection::on(Tapped::new(tap.wire(), tap.clone()), tap, descriptor).await;
+        };
+        let config = tls.config.borrow().clone();
+        let stream = TlsConnector::from(config).connect(tls.name.clone(), tap.wire()).await?;
+        Connection::on(Tapped::new(stream, tap.clone()), tap, descriptor).await
+    }
+
+    async fn on<S: AsyncRead + AsyncWrite + Unpin + Send + 'static>(
+        stream: Tapped<S>, tap: Arc<Tap>, descriptor: Option<Drawn>,
+    ) -> io::Result<Connection> {
+        let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call that is out; between calls they only end the connection.
         let driver = tokio::spawn(async move { drop(connection.await) });
@@ -87,7 +116,7 @@
                 answer.map_err(|mut error| match error.take_message() {
                     Some(_) => Failure::Unsent,
                     None if self.tap.has_begun() => Failure::Spoilt,
-                    None => Failure::Broken,
+                    None => refusal(&error.into_error()).map_or(Failure::Broken, Failure::Refused),
                 })
             }
             // Guards against a head without an end, which would hold the call until its time is up.
@@ -107,6 +136,15 @@
     }
 }
 
+/// Whether a connection ended by an alert that belongs to the handshake alone. Under TLS 1.3 a client has done its part, and
+/// sends its request, before the server has looked at its certificate (RFC 8446, section 4.4.2.4 and appendix E.1.1); a server
+/// that refuses it never comes to read the request.
+fn refusal(error: &hyper::Error) -> Option<String> {
+    let io = std::error::Error::source(error)?.downcast_ref::<io::Error>()?;
+    let tls = io.get_ref()?.downcast_ref::<rustls::Error>()?;
+    foldtrack_tls::refuses(tls).then(|| foldtrack_tls::cause(tls))
+}
+
 /// How calls ended by how long their connection had stood idle before. Guards against targets, or what stands
 /// between, that drop idle connections without a sign long before the time that the settings tell: a call on one
 /// may have run, which ends an unsafe message, where a new connection costs a handshake.
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -145,6 +145,8 @@
     pub over: bool,
     /// The partner will never take it, or it can't be sent to this one.
     pub refused: bool,
+    /// Why there was no connection, for people; empty if there was one.
+    pub cause: String,
     /// Nothing is to be sent to the destination until then.
     pub wait_until: Option<Instant>,
     pub report: Option<LimitReport>,
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -208,6 +208,7 @@
             outcome: tried.outcome.word().into(),
             may_have_run: !tried.outcome.never_ran(),
             then: "waits".into(),
+            cause: end.cause.clone(),
         };
         site.failed(end.number, message.destination, failure);
     }
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -188,6 +188,7 @@
             outcome: Outcome::NotSent,
             over: false,
             refused: false,
+            cause: String::new(),
             wait_until: None,
             report: None,
             idle,
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -36,7 +36,7 @@
 ) -> Option<(StatusCode, Bytes)> {
     let mut open = match connection.take() {
         Some(open) => open,
-        None => Connection::open(address, None).await.ok()?,
+        None => Connection::open(address, None, None).await.ok()?,
     };
     let response = open.send(request).await.ok()?;
     let status = response.status();
--- a/src/bin/foldtrack/speech.rs
+++ b/src/bin/foldtrack/speech.rs
@@ -1,13 +1,17 @@
 //! How each partner is spoken to, carried out: its dialect, and the secrets that prove who calls. Files of secrets are looked
 //! at again while the process runs; a new one counts from the next call on, and one that can't be read leaves the old.
 
+use crate::connections::Encryption;
 use foldtrack_dialect::{Dialect, Outgoing, Unfit};
-use foldtrack_proof::{headers, Kind, Secrets, Subject, LONGEST_FILE};
-use foldtrack_site::Site;
+use foldtrack_proof::{headers, Kind, Secrets, Subject};
+use foldtrack_site::{Proof, Site, Tls};
+use foldtrack_tls::{expiry, facts, Texts};
 use http::request::Parts;
-use std::collections::HashMap;
+use secrecy::zeroize::Zeroize;
+use std::collections::{HashMap, HashSet};
 use std::fs::{File, OpenOptions};
 use std::io::Read;
+use std::net::SocketAddr;
 use std::os::unix::fs::{MetadataExt, OpenOptionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -16,7 +20,12 @@
 use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 
-/// How often files of secrets are looked at.
+/// Bytes that a file has at most: a system's whole list of roots fits.
+const LONGEST: usize = 1 << 20;
+/// How certificates and keys begin in PEM (RFC 7468).
+const CERTIFICATE: &[u8] = b"-----BEGIN CERTIFICATE-----";
+const KEY: &[u8] = b"PRIVATE KEY-----";
+/// How often files are looked at.
 const LOOK: Duration = Duration::from_secs(1);
 
 /// One partner's.
@@ -24,6 +33,8 @@
 pub(crate) struct Speech {
     pub dialect: Dialect,
     proof: Option<(Kind, watch::Receiver<Arc<Secrets>>)>,
+    /// How its connections are encrypted; none for plain ones.
+    pub encryption: Option<Encryption>,
 }
 
 /// Every partner's.
@@ -31,19 +42,31 @@
 pub(crate) struct Speeches {
     usual: Arc<Speech>,
     by_destination: HashMap<u32, Arc<Speech>>,
+    /// Partners whose secrets go over their connections as they are.
+    in_the_clear: HashSet<String>,
 }
 
-/// A file of secrets, and what it was when it was read last.
+/// Files, and what is made of them.
 struct Watched {
     partner: String,
-    kind: Kind,
-    path: PathBuf,
-    stamp: Stamp,
-    secrets: watch::Sender<Arc<Secrets>>,
-    /// It can't be read now; told once.
+    /// The field of the site file that they stand in.
+    field: &'static str,
+    files: Vec<PathBuf>,
+    stamps: Vec<Stamp>,
+    /// Makes it of the files' texts, and puts it in use.
+    renew: Renew,
+    /// Which of them is the certificate that is shown to the partner, when it ends (Unix time in seconds), and the last step
+    /// towards that which was told.
+    certificate: Option<usize>,
+    ends: Option<i64>,
+    told_end: Option<i64>,
+    /// They can't be used now; told once.
     told: Option<String>,
 }
 
+/// Puts the texts of files in use.
+type Renew = Box<dyn FnMut(&[Vec<u8>]) -> Result<(), String> + Send>;
+
 /// What changes with a file.
 type Stamp = (u64, u64, i64, i64, u32);
 
@@ -67,8 +90,13 @@
 impl Speeches {
     /// Under the platform: its protocol for all.
     pub fn platform() -> Speeches {
-        let usual = Arc::new(Speech { dialect: Dialect::foldtrack(), proof: None });
-        Speeches { usual, by_destination: HashMap::new() }
+        let usual = Arc::new(Speech { dialect: Dialect::foldtrack(), proof: None, encryption: None });
+        Speeches { usual, by_destination: HashMap::new(), in_the_clear: HashSet::new() }
+    }
+
+    /// Whether an endpoint at this address would be told a partner's secret over a wire that others may listen on.
+    pub fn shows_secrets(&self, partner: &str, address: SocketAddr) -> bool {
+        self.in_the_clear.contains(partner) && !address.ip().is_loopback()
     }
 
     /// A destination's.
@@ -77,38 +105,92 @@
     }
 }
 
-/// Secrets that are looked after while the process runs.
+/// Files that are looked after while the process runs.
 pub(crate) struct Keeper(Vec<Watched>);
 
 /// What a site's partners are spoken to with.
 ///
 /// # Errors
-/// The first file of secrets that can't be used, by the partner's name and the file's.
+/// The first file that can't be used, by the partner's name and the file's.
 pub(crate) fn of_site(site: &Site) -> Result<(Speeches, Keeper), String> {
     let (mut speeches, mut watched) = (Speeches::platform(), Vec::new());
     for partner in &site.partners {
-        let mut proof = None;
-        if let Some(said) = &partner.proof {
-            let told =
-                |problem| format!("partner.{}.proof: {}: {problem}", partner.name, said.file.display());
-            let (secrets, stamp) = read(&said.kind, &said.file).map_err(told)?;
-            let (sender, secrets) = watch::channel(Arc::new(secrets));
-            proof = Some((said.kind.clone(), secrets));
-            watched.push(Watched {
-                partner: partner.name.clone(),
-                kind: said.kind.clone(),
-                path: said.file.clone(),
-                stamp,
-                secrets: sender,
-                told: None,
-            });
+        let proof =
+            partner.proof.as_ref().map(|said| proof(&partner.name, said, &mut watched)).transpose()?;
+        let encryption =
+            partner.tls.as_ref().map(|said| encryption(&partner.name, said, &mut watched)).transpose()?;
+        if proof.is_some() && encryption.is_none() {
+            speeches.in_the_clear.insert(partner.name.clone());
         }
-        let speech = Speech { dialect: partner.dialect.clone(), proof };
+        let speech = Speech { dialect: partner.dialect.clone(), proof, encryption };
         speeches.by_destination.insert(partner.number(), Arc::new(speech));
     }
     Ok((speeches, Keeper(watched)))
 }
 
+/// Reads files, makes what they are for, and has them looked after.
+fn watch_files<T: Send + Sync + 'static>(
+    partner: &str, field: &'static str, files: Vec<PathBuf>, certificate: Option<usize>,
+    watched: &mut Vec<Watched>, make: impl Fn(&[Vec<u8>]) -> Result<T, String> + Send + 'static,
+) -> Result<watch::Receiver<T>, String> {
+    let told = |problem: String| format!("partner.{partner}.{field}: {problem}");
+    let (texts, stamps) = read_all(&files).map_err(told)?;
+    let (sender, receiver) = watch::channel(make(&texts).map_err(told)?);
+    let ends = ends(certificate, &texts);
+    let renew = Box::new(move |texts: &[Vec<u8>]| {
+        sender.send_replace(make(texts)?);
+        Ok(())
+    });
+    watched.push(Watched {
+        partner: partner.to_string(),
+        field,
+        files,
+        stamps,
+        renew,
+        certificate,
+        ends,
+        told_end: None,
+        told: None,
+    });
+    Ok(receiver)
+}
+
+/// When the certificate among some texts ends.
+fn ends(certificate: Option<usize>, texts: &[Vec<u8>]) -> Option<i64> {
+    let all = facts::of(texts.get(certificate?)?).ok()?;
+    all.into_iter().map(|f| f.not_after).min()
+}
+
+type Proven = (Kind, watch::Receiver<Arc<Secrets>>);
+
+fn proof(partner: &str, said: &Proof, watched: &mut Vec<Watched>) -> Result<Proven, String> {
+    let kind = said.kind.clone();
+    let file = said.file.display().to_string();
+    let make = move |texts: &[Vec<u8>]| {
+        let read = Secrets::read(&kind, texts.first().map_or(&[][..], Vec::as_slice));
+        read.map(Arc::new).map_err(|problem| format!("{file}: {problem}"))
+    };
+    let secrets = watch_files(partner, "proof", vec![said.file.clone()], None, watched, make)?;
+    Ok((said.kind.clone(), secrets))
+}
+
+fn encryption(partner: &str, said: &Tls, watched: &mut Vec<Watched>) -> Result<Encryption, String> {
+    let client = said.client.iter().flat_map(|(chain, key)| [chain, key]);
+    let files: Vec<PathBuf> = said.roots.iter().chain(client).cloned().collect();
+    let certificate = said.client.as_ref().map(|_| files.len() - 2);
+    let (plan, with_roots) = (said.plan.clone(), said.roots.is_some());
+    let make = move |texts: &[Vec<u8>]| {
+        let (roots, client) = texts.split_at(usize::from(with_roots));
+        let client = match client {
+            [chain, key] => Some((chain.clone(), key.clone())),
+            _ => None,
+        };
+        foldtrack_tls::configuration(&plan, &Texts { roots: roots.first().cloned(), client })
+    };
+    let config = watch_files(partner, "tls", files, certificate, watched, make)?;
+    Ok(Encryption { name: said.plan.name.clone(), config })
+}
+
 fn stamp(file: &File) -> std::io::Result<Stamp> {
     let seen = file.metadata()?;
     Ok((seen.ino(), seen.len(), seen.mtime(), seen.mtime_nsec(), seen.mode()))
@@ -120,49 +202,86 @@
     OpenOptions::new().read(true).custom_flags(nonblocking).open(path).map_err(|e| e.to_string())
 }
 
-/// Reads a file of secrets that its owner alone may read.
-fn read(kind: &Kind, path: &Path) -> Result<(Secrets, Stamp), String> {
+/// Reads files that their owner alone may write, and, but for certificates, read.
+fn read_all(files: &[PathBuf]) -> Result<(Vec<Vec<u8>>, Vec<Stamp>), String> {
+    let read = |path: &PathBuf| read_one(path).map_err(|problem| format!("{}: {problem}", path.display()));
+    Ok(files.iter().map(read).collect::<Result<Vec<_>, _>>()?.into_iter().unzip())
+}
+
+pub(crate) fn read_one(path: &Path) -> Result<(Vec<u8>, Stamp), String> {
     let file = open(path)?;
     let seen = file.metadata().map_err(|e| e.to_string())?;
     if !seen.is_file() {
         return Err("is no file".into());
     }
-    if seen.mode() & 0o077 != 0 {
-        return Err(format!("mode {:03o} lets others at it: chmod 600", seen.mode() & 0o777));
-    }
     let stamp = stamp(&file).map_err(|e| e.to_string())?;
     let mut text = Vec::new();
-    file.take(LONGEST_FILE as u64 + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
-    let secrets = Secrets::read(kind, &text);
-    // No copy stays behind in freed memory.
-    secrecy::zeroize::Zeroize::zeroize(&mut text);
-    Ok((secrets?, stamp))
+    file.take(LONGEST as u64 + 1).read_to_end(&mut text).map_err(|e| e.to_string())?;
+    if text.len() > LONGEST {
+        return Err(format!("has more than {LONGEST} bytes"));
+    }
+    // Whatever holds no more than certificates is nobody's secret.
+    let public = text.starts_with(CERTIFICATE) && !text.windows(KEY.len()).any(|w| w == KEY);
+    if seen.mode() & if public { 0o022 } else { 0o077 } != 0 {
+        text.zeroize();
+        let mode = if public { "644" } else { "600" };
+        return Err(format!("mode {:03o} lets others at it: chmod {mode}", seen.mode() & 0o777));
+    }
+    Ok((text, stamp))
 }
 
 impl Watched {
-    /// Looks whether the file is another one now.
+    /// Looks whether the files are others now, and whether a certificate is about to end.
     fn look(&mut self) {
-        let now = open(&self.path).and_then(|file| stamp(&file).map_err(|e| e.to_string()));
-        if now.as_ref() == Ok(&self.stamp) && self.told.is_none() {
-            return;
-        }
-        match read(&self.kind, &self.path) {
-            Ok((secrets, stamp)) => {
-                self.secrets.send_replace(Arc::new(secrets));
-                (self.stamp, self.told) = (stamp, None);
-                tracing::info!(partner = self.partner, file = %self.path.display(), "the secret is another one from now on");
+        let now: Result<Vec<Stamp>, String> = self
+            .files
+            .iter()
+            .map(|path| open(path).and_then(|file| stamp(&file).map_err(|e| e.to_string())))
+            .collect();
+        if now.as_ref() != Ok(&self.stamps) || self.told.is_some() {
+            let made = read_all(&self.files).and_then(|(mut texts, stamps)| {
+                let made = (self.renew)(&texts);
+                let ends = ends(self.certificate, &texts);
+                // No copy stays behind in freed memory.
+                texts.iter_mut().for_each(Zeroize::zeroize);
+                made.map(|()| (stamps, ends))
+            });
+            let (partner, field) = (&self.partner, self.field);
+            match made {
+                Ok((stamps, ends)) => {
+                    tracing::info!(partner, field, "what its files hold is in use from now on");
+                    (self.stamps, self.ends, self.told, self.told_end) = (stamps, ends, None, None);
+                }
+                Err(problem) if self.told.as_ref() != Some(&problem) => {
+                    tracing::warn!(partner, field, problem, "what was read before stays in use");
+                    self.told = Some(problem);
+                }
+                Err(_) => {}
             }
-            Err(problem) if self.told.as_ref() != Some(&problem) => {
-                tracing::warn!(partner = self.partner, file = %self.path.display(), problem, "the secret stays what it was");
-                self.told = Some(problem);
+        }
+        self.look_at_end();
+    }
+
+    /// Tells when the certificate that is shown to the partner ends: a month, a week and a day before, and when it has.
+    fn look_at_end(&mut self) {
+        let Some(path) = self.certificate.and_then(|at| self.files.get(at)) else { return };
+        let Some(ends) = self.ends else { return };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() as i64;
+        if let Some(days) = expiry::tell(ends, unix, self.told_end) {
+            let file = path.display();
+            match days {
+                0 => tracing::error!(partner = self.partner, %file, "the certificate shown to it has ended"),
+                days => {
+                    tracing::warn!(partner = self.partner, %file, days, "the certificate shown to it ends soon")
+                }
             }
-            Err(_) => {}
+            self.told_end = Some(days);
         }
     }
 }
 
 impl Keeper {
-    /// Looks after the files for as long as the process runs, off the loop. Nothing of it runs where there is no secret.
+    /// Looks after the files for as long as the process runs, off the loop. Nothing of it runs where there is none.
     pub fn start(mut self) {
         if self.0.is_empty() {
             return;
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -169,20 +169,25 @@
 /// A connection to a target, and the first bytes that have come since the last request.
 #[derive(Debug)]
 pub(crate) struct Tap {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     first: Mutex<Vec<u8>>,
     came: Notify,
 }
 
 impl Tap {
     pub fn new(stream: TcpStream) -> Arc<Tap> {
-        Arc::new(Tap { stream, first: Mutex::default(), came: Notify::new() })
+        Arc::new(Tap { stream: Arc::new(stream), first: Mutex::default(), came: Notify::new() })
     }
 
     fn first(&self) -> MutexGuard<'_, Vec<u8>> {
         self.first.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The bytes on the wire, for what stands between: TLS, or nothing.
+    pub fn wire(&self) -> Wire {
+        Wire(self.stream.clone())
+    }
+
     /// A request is about to go out.
     pub fn begin(&self) {
         self.first().clear();
@@ -210,9 +215,10 @@
     }
 
     /// Nothing has come that nobody has asked for: neither bytes behind the last answer nor the end. Asks the
-    /// socket itself, since the runtime may not have heard yet.
+    /// socket itself, since the runtime may not have heard yet. Under TLS that may also be a ticket that is yet to be
+    /// read: then the connection counts as not quiet, which costs a handshake and no message.
     pub fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
@@ -226,22 +232,17 @@
     bytes
 }
 
-/// hyper's side of a [`Tap`].
+/// The socket itself.
 #[derive(Debug)]
-pub(crate) struct Tapped(pub Arc<Tap>);
+pub(crate) struct Wire(Arc<TcpStream>);
 
-impl AsyncRead for Tapped {
+impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let tap = &self.0;
         loop {
-            ready!(tap.stream.poll_read_ready(cx))?;
-            match tap.stream.try_read(buf.initialize_unfilled()) {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
                 Ok(count) => {
-                    let mut first = tap.first();
-                    let kept = count.min(FIRST.saturating_sub(first.len()));
-                    first.extend_from_slice(&buf.initialize_unfilled()[..kept]);
                     buf.advance(count);
-                    tap.came.notify_one();
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -251,11 +252,11 @@
     }
 }
 
-impl AsyncWrite for Tapped {
+impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match self.0.stream.try_write(bytes) {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write(bytes) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -267,7 +268,49 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Both))
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Both))
+    }
+}
+
+/// hyper's side of a connection: the wire, or TLS on it. What comes of an answer is noted in the [`Tap`].
+#[derive(Debug)]
+pub(crate) struct Tapped<S> {
+    stream: S,
+    tap: Arc<Tap>,
+}
+
+impl<S> Tapped<S> {
+    pub fn new(stream: S, tap: Arc<Tap>) -> Tapped<S> {
+        Tapped { stream, tap }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Tapped<S> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        let came = &buf.filled()[before..];
+        let mut first = this.tap.first();
+        let kept = came.len().min(FIRST.saturating_sub(first.len()));
+        first.extend_from_slice(&came[..kept]);
+        drop(first);
+        this.tap.came.notify_one();
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Tapped<S> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
     }
 }
 
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -14,11 +14,13 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, Instant};
+use tokio_rustls::rustls;
 
 /// The rest of an answer, whose meaning its first line has told, must come within this span and size for the
 /// connection to be used again.
@@ -54,10 +56,18 @@
 /// Why there is no answer to read.
 enum Unsent {
     By(Outcome),
+    /// There is no connection, and this is why.
+    Unconnected(String),
     /// The message lacks what this partner's dialect needs, whenever it is sent.
     Never,
 }
 
+/// Why there is no connection, for people.
+fn why(error: &io::Error) -> String {
+    let tls = error.get_ref().and_then(|inner| inner.downcast_ref::<rustls::Error>());
+    tls.map_or_else(|| error.to_string(), foldtrack_tls::cause)
+}
+
 /// Makes one call and tells its end: exactly once, and never tries again by itself.
 pub(crate) async fn call(call: Call, mut cancelled: oneshot::Receiver<()>, inputs: Inputs) {
     let mut end = CallEnd {
@@ -68,6 +78,7 @@
         outcome: Outcome::ConnectFailed,
         over: false,
         refused: false,
+        cause: String::new(),
         wait_until: None,
         report: None,
         idle: call.connection.as_ref().map(|(_, idle)| *idle),
@@ -93,18 +104,16 @@
         let mut connection = match idle {
             Some((connection, _)) => connection,
             None => {
-                match timeout(
-                    dial_timeout,
-                    Connection::open(address, Some(descriptor.ok_or(Unsent::By(Outcome::NotSent))?)),
-                )
-                .await
-                {
+                let descriptor = Some(descriptor.ok_or(Unsent::By(Outcome::NotSent))?);
+                let opening = Connection::open(address, speech.encryption.as_ref(), descriptor);
+                match timeout(dial_timeout, opening).await {
                     Ok(Ok(connection)) => connection,
                     // Out of descriptors here: that says nothing of the target.
                     Ok(Err(e)) if OWN_LIMITS.map(Some).contains(&e.raw_os_error()) => {
                         return Err(Unsent::By(Outcome::NotSent))
                     }
-                    _ => return Err(Unsent::By(Outcome::ConnectFailed)),
+                    Ok(Err(e)) => return Err(Unsent::Unconnected(why(&e))),
+                    Err(_) => return Err(Unsent::Unconnected("no connection in time".into())),
                 }
             }
         };
@@ -118,7 +127,8 @@
             // A connection that was closed while it stood idle tells nothing of the target's health.
             Err(Failure::Unsent) if reused => Err(Unsent::By(Outcome::NotSent)),
             Err(Failure::Unsent) => Err(Unsent::By(Outcome::ConnectFailed)),
-            Err(Failure::Broken) => Err(Unsent::By(Outcome::Reset)),
+            Err(Failure::Refused(why)) if !reused => Err(Unsent::Unconnected(why)),
+            Err(Failure::Broken | Failure::Refused(_)) => Err(Unsent::By(Outcome::Reset)),
             Err(Failure::Spoilt) => Err(Unsent::By(Outcome::Spoilt)),
         }
     };
@@ -142,6 +152,7 @@
             (end.outcome, end.over) = (Outcome::Ok, true);
         }
         Err(Some(Unsent::Never)) => (end.outcome, end.over, end.refused) = (Outcome::NotSent, true, true),
+        Err(Some(Unsent::Unconnected(why))) => (end.outcome, end.cause) = (Outcome::ConnectFailed, why),
         Err(Some(Unsent::By(Outcome::Cancelled))) if handed_over.is_none() => end.outcome = Outcome::NotSent,
         Err(None) if handed_over.is_none() => end.outcome = Outcome::ConnectFailed,
         Err(None) => end.outcome = Outcome::TimedOut,
--- /dev/null
+++ b/tests/site/encrypted.rs
@@ -0,0 +1,255 @@
+//! Partners behind TLS: certificates that are wrong in every way, keys that change under load, handshakes that stand still.
+
+use super::world::*;
+use foldtrack_control::{Ask, Told};
+use foldtrack_standin::http::{Reply, Server, OK};
+use foldtrack_standin::tls::{Authority, Front, Issued};
+use std::fs::{self, Permissions};
+use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const NAME: &str = "pay.example";
+
+/// A partner behind TLS, and the files that a site reaches it with.
+struct Pay {
+    authority: Authority,
+    server: Arc<Server>,
+    front: Arc<Front>,
+    folder: TempDir,
+}
+
+impl Pay {
+    fn start(issue: impl Fn(&Authority) -> Issued) -> Pay {
+        let authority = Authority::new("the partner's");
+        let server = Server::start(|_| OK);
+        let front = Front::start(server.address, Authority::server(&issue(&authority), None));
+        let pay = Pay { authority, server, front, folder: tempfile::tempdir().unwrap() };
+        pay.write("roots.pem", &pay.authority.pem, 0o644);
+        pay
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    fn write(&self, name: &str, text: &str, mode: u32) {
+        let new = self.path("new");
+        fs::write(&new, text).unwrap();
+        fs::set_permissions(&new, Permissions::from_mode(mode)).unwrap();
+        fs::rename(&new, self.path(name)).unwrap();
+    }
+
+    fn plan(&self, more: &str) -> Plan {
+        let mut plan = Plan::of(&[("p", "a", self.front.address)]);
+        let roots = self.path("roots.pem").display().to_string();
+        plan.partner = format!("[partner.p.tls]\nserver-name = \"{NAME}\"\nroots = \"{roots}\"\n{more}");
+        plan
+    }
+
+    fn site(&self, more: &str) -> Site {
+        Site::start(&self.plan(more))
+    }
+}
+
+fn sound(authority: &Authority) -> Issued {
+    authority.issue(&[NAME.into()], (2020, 2090))
+}
+
+fn hand_in(site: &Site, id: &str) {
+    assert_eq!(site.post("fee", "", id, "x").0, 202, "{id}");
+}
+
+fn causes(site: &Site) -> Vec<String> {
+    match site.ask(Ask::Failures { most: None }).unwrap() {
+        Told::Failures(all) => all.into_iter().map(|f| f.cause).collect(),
+        told => panic!("{told:?}"),
+    }
+}
+
+#[test]
+fn messages_go_over_tls_and_sessions_are_resumed() {
+    let pay = Pay::start(sound);
+    let site = pay.site("least-version = \"1.3\"\n");
+    for n in 0..20 {
+        hand_in(&site, &format!("m{n}"));
+    }
+    eventually("all are delivered", || site.status().delivered == 20);
+    assert_eq!(pay.server.seen().len(), 20);
+    // Connections are kept; what is opened later resumes.
+    sleep(MS(300));
+    let (full, before) = (pay.front.full.load(Ordering::SeqCst), pay.server.seen().len());
+    pay.server.behave(|_| Reply::Status(200, "Connection: close\r\n"));
+    for n in 0..5 {
+        hand_in(&site, &format!("n{n}"));
+        eventually("it is delivered", || pay.server.seen().len() == before + n + 1);
+        sleep(MS(50));
+    }
+    eventually("all are delivered", || site.status().delivered == 25);
+    assert_eq!(pay.front.full.load(Ordering::SeqCst), full);
+    assert!(pay.front.resumed.load(Ordering::SeqCst) >= 3);
+    assert_eq!(pay.front.broken.load(Ordering::SeqCst), 0);
+}
+
+/// Whatever is wrong with a certificate, nothing has run, the cause is told in words, and once it is mended the payment goes.
+#[test]
+fn what_is_wrong_with_a_certificate_is_told_and_has_not_run() {
+    let foreign = Authority::new("somebody else's");
+    let pay = Pay::start(sound);
+    let years = |from, to| pay.authority.issue(&[NAME.into()], (from, to));
+    for (n, (issued, cause)) in [
+        (years(2020, 2021), "has expired"),
+        (years(2080, 2090), "not valid yet"),
+        (pay.authority.issue(&["school.example".into()], (2020, 2090)), "for another name"),
+        (foreign.issue(&[NAME.into()], (2020, 2090)), "an issuer who is not trusted here"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        pay.front.change(Authority::server(&issued, None));
+        let site = pay.site("");
+        let id = format!("m{n}");
+        hand_in(&site, &id);
+        eventually(cause, || causes(&site).iter().any(|told| told.contains(cause)));
+        let message = site.message(&id).unwrap();
+        assert!(message.attempts.iter().all(|a| !a.may_have_run), "{message:?}");
+        let shown = String::from_utf8_lossy(&site.run(&["failures"]).stdout).into_owned();
+        assert!(shown.contains(cause), "{shown}");
+        pay.front.change(Authority::server(&sound(&pay.authority), None));
+        eventually("it goes once the certificate is right", || site.state_of(&id) == "delivered");
+    }
+    assert_eq!(pay.server.seen().len(), 4, "each once");
+    // One of 40 KB is only large.
+    let mut names: Vec<String> = (0..1_000).map(|n| format!("a-rather-long-name-{n:05}.example")).collect();
+    names.push(NAME.into());
+    pay.front.change(Authority::server(&pay.authority.issue(&names, (2020, 2090)), None));
+    let site = pay.site("");
+    hand_in(&site, "large");
+    eventually("it goes", || site.state_of("large") == "delivered");
+}
+
+/// A pin that the partner's key does not have is as good as no certificate; the next pin stands beside it during a change.
+#[test]
+fn pins_are_kept_to() {
+    let pay = Pay::start(sound);
+    let (now, next) = (sound(&pay.authority), sound(&pay.authority));
+    pay.front.change(Authority::server(&now, None));
+    let pin = |issued: &Issued| foldtrack_tls::facts::of(issued.certificate_pem().as_bytes()).unwrap()[0].pin;
+    let site = pay.site(&format!("pins = [\"{}\", \"{}\"]\n", pin(&now), pin(&next)));
+    hand_in(&site, "now");
+    eventually("by the first", || site.state_of("now") == "delivered");
+    pay.front.change(Authority::server(&next, None));
+    pay.server.behave(|_| Reply::Status(200, "Connection: close\r\n"));
+    hand_in(&site, "next");
+    eventually("by the second", || site.state_of("next") == "delivered");
+    pay.front.change(Authority::server(&sound(&pay.authority), None));
+    pay.server.behave(|_| OK);
+    sleep(MS(100));
+    hand_in(&site, "other");
+    hand_in(&site, "another");
+    eventually("it is told", || causes(&site).iter().any(|c| c.contains("none of those that are pinned")));
+    assert!(pay.server.seen().len() <= 3, "at most one on a connection that was open");
+}
+
+/// A server that stands still at whichever byte of the handshake holds a call for the time that a dial has, and no longer.
+#[test]
+fn a_handshake_that_stands_still_ends_in_time_and_has_not_run() {
+    let pay = Pay::start(sound);
+    for (n, bytes) in [0, 1, 100, 300, 600].into_iter().enumerate() {
+        pay.front.stall_after(Some(bytes));
+        let site = pay.site("");
+        let id = format!("m{n}");
+        hand_in(&site, &id);
+        eventually("it is told", || causes(&site).iter().any(|c| c.contains("no connection in time")));
+        let first = site.message(&id).unwrap().attempts.remove(0);
+        assert!(!first.may_have_run && first.until - first.at < 3_000_000, "{first:?}");
+        pay.front.stall_after(None);
+        eventually("it goes", || site.state_of(&id) == "delivered");
+    }
+}
+
+/// The certificate that is shown to the partner, and its key, change while payments go: none is lost, none goes twice.
+#[test]
+fn a_client_certificate_changes_under_load() {
+    let pay = Pay::start(sound);
+    let (old, new) = (Authority::new("old"), Authority::new("new"));
+    let client = |authority: &Authority| authority.issue(&["hradec".into()], (2020, 2090));
+    let (first, second) = (client(&old), client(&new));
+    pay.front.change(Authority::server(&sound(&pay.authority), Some(&old)));
+    pay.write("client.pem", &first.certificate_pem(), 0o644);
+    pay.write("client.key", &first.key_pem(), 0o600);
+    let (chain, key) = (pay.path("client.pem"), pay.path("client.key"));
+    let more = format!("client-certificate = {chain:?}\nclient-key = {key:?}\n");
+    let site = pay.site(&more);
+    let mut sent = 0;
+    let mut go_on = |span: Duration| {
+        let from = Instant::now();
+        while from.elapsed() < span {
+            hand_in(&site, &format!("m{sent}"));
+            sent += 1;
+            sleep(MS(2));
+        }
+    };
+    go_on(MS(500));
+    // A key that does not go with the certificate is not taken: what was there stays.
+    pay.write("client.key", &second.key_pem(), 0o600);
+    go_on(MS(1_500));
+    pay.write("client.pem", &second.certificate_pem(), 0o644);
+    go_on(MS(1_500));
+    // From now on the partner takes only the new one.
+    pay.front.change(Authority::server(&sound(&pay.authority), Some(&new)));
+    pay.server.behave(|_| Reply::Status(200, "Connection: close\r\n"));
+    go_on(MS(1_000));
+    eventually("all are delivered", || site.status().delivered == sent);
+    let mut ids = pay.server.ids();
+    ids.sort();
+    ids.dedup();
+    assert_eq!((ids.len() as u64, pay.server.seen().len() as u64), (sent, sent), "each once");
+    // With none at all it is refused, behind the client's part of the handshake and when its request is written already: that
+    // is told, and has not run.
+    let without = pay.site("");
+    hand_in(&without, "w");
+    eventually("it is told", || causes(&without).iter().any(|c| c.contains("CertificateRequired")));
+    assert!(without.message("w").unwrap().attempts.iter().all(|a| !a.may_have_run));
+    assert_eq!(pay.server.seen().len() as u64, sent);
+}
+
+#[test]
+fn keys_are_listed_without_being_shown_and_secrets_never_go_in_plain_text() {
+    let pay = Pay::start(sound);
+    let client = pay.authority.issue(&["hradec".into()], (2020, 2090));
+    pay.write("client.pem", &client.certificate_pem(), 0o644);
+    pay.write("client.key", &client.key_pem(), 0o600);
+    let (chain, key) = (pay.path("client.pem"), pay.path("client.key"));
+    let site = pay.site(&format!("client-certificate = {chain:?}\nclient-key = {key:?}\n"));
+    let shown = site.run(&["keys", site.file().to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&shown.stdout).into_owned();
+    assert!(shown.status.success(), "{}", String::from_utf8_lossy(&shown.stderr));
+    for part in ["hradec", "2090-01-01", "client.pem", "sha256/", "roots.pem"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    assert!(!text.contains("PRIVATE"), "{text}");
+    // One that others may read is told before anything is taken on.
+    pay.write("client.key", &client.key_pem(), 0o644);
+    let other = Site::prepared(&pay.plan(&format!("client-certificate = {chain:?}\nclient-key = {key:?}\n")));
+    let told = other.run(&["serve", "--site", other.file().to_str().unwrap()]);
+    let told = String::from_utf8_lossy(&told.stderr).into_owned();
+    assert!(told.contains("partner.p.tls") && told.contains("chmod 600"), "{told}");
+    // A secret over a wire that others may listen on.
+    let token = pay.path("token");
+    pay.write("token", "t\n", 0o600);
+    let mut plan = Plan::of(&[("p", "a", pay.server.address)]);
+    plan.partner = format!("speaks = \"http\"\npath = \"/\"\n[partner.p.proof]\nsecret-file = {token:?}\n");
+    let plain = Site::start(&plan);
+    let far = Ask::Add { partner: "p".into(), endpoint: "far".into(), address: "192.0.2.7:80".into() };
+    assert!(plain.ask(far).unwrap_err().to_string().contains("in plain text"));
+    plan.endpoints[0].2 = "192.0.2.7:80".parse().unwrap();
+    let other = Site::prepared(&plan);
+    let told = other.run(&["check", other.file().to_str().unwrap()]);
+    assert!(String::from_utf8_lossy(&told.stderr).contains("partner.p.tls: is missing"));
+}
