Keep connections by endpoint: idle times learned, opened ahead, none for a drain

Idle times at which connections are dropped were learned for all targets together, a fresh connection to a distant partner cost a busy hour its handshakes, and a dial that was under way at a drain began a call up to connect-timeout later, a minute where a site says so.

The package pool decides, without I/O: for each endpoint three quarters of the shortest idle time of a loss is used, those that stand longer are watched and raise it without a message being risked; what comes during a handshake, with bursts, stands ready; nothing is opened for who fails. A drain sets a flag that calls look at once they are connected, and calls off dials ahead. Connections are retired by age with jitter. endpoints shows them. At a site only: under the platform all stays as it was.

--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -347,6 +347,16 @@
     pub wait_ms: u64,
     /// Others are taken first for so long: it has failed lately.
     pub avoided_ms: u64,
+    /// Connections that stand idle, and that are being opened ahead of demand.
+    pub idle: u32,
+    /// See `idle`.
+    pub dialling: u32,
+    /// Share of the calls that waited for no handshake, 0 to 1.
+    pub ready: f64,
+    /// How long a handshake takes.
+    pub handshake_ms: f64,
+    /// How long a connection may stand idle and be used again, as learned.
+    pub idle_most_ms: u64,
     /// Since the order that closed it, if that came in this process; 0 otherwise.
     pub closed_ms: u64,
 }
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -1,5 +1,5 @@
 //! How a partner is spoken to, as data: what a call of a message looks like, and what comes back means. Pure functions,
-//! no I/O, no clock of their own. `docs/design/dialect.md` has the options.
+//! no I/O, no clock of their own. `docs/design/partners.md` has the options.
 //!
 //! [`template`] fills paths and headers, [`answers`] tells what a status means, [`waits`] reads `Retry-After`, [`limits`] what
 //! answers tell of a rate.
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -75,6 +75,13 @@
             found,
             within(10_000..=60 * SECOND, "\"10ms\" to \"60s\"", by(span)),
         ),
+        connection_age: table.or(
+            "connection-age",
+            600 * SECOND,
+            found,
+            within(SECOND..=DAY, "\"1s\" to \"24h\"", by(span)),
+        ),
+        open_ahead: table.or("open-ahead", true, found, yes_or_no),
     };
     table.done(found);
 
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -173,6 +173,10 @@
     pub connection_idle: u64,
     /// A connection not made within this span has failed.
     pub connect_timeout: u64,
+    /// A connection is not used for longer.
+    pub connection_age: u64,
+    /// Connections are opened before calls ask for them, where a handshake takes time.
+    pub open_ahead: bool,
 }
 
 /// An installation of its own.
--- a/crates/site/tests/files.rs
+++ b/crates/site/tests/files.rs
@@ -88,6 +88,24 @@
     }
 }
 
+/// The files that the operators' page works out are sound.
+#[test]
+fn the_worked_files_of_the_page_pass_the_check() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/partners.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let worked = page.split("## Worked files").nth(1).unwrap().split("## Connections").next().unwrap();
+    let lines: Vec<&str> = worked.lines().filter_map(|line| line.strip_prefix("    ")).collect();
+    let pin = "sha256/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=";
+    let text = lines
+        .join("\n")
+        .replace("sha256/BASE64-OF-TODAYS-KEY", pin)
+        .replace("sha256/BASE64-OF-THE-NEXT", pin);
+    let head = TEMPLATE.split("[partner.school-north]").next().unwrap();
+    let site = parse(Path::new("site.toml"), &format!("{head}{text}")).map_err(|f| format!("{f:?}")).unwrap();
+    assert_eq!(site.partners.len(), 3);
+    assert!(site.partners.iter().all(|p| p.tls.is_some()));
+}
+
 /// One reading tells them all, each at its own line, with what would be right.
 #[test]
 fn twenty_mistakes_and_more_give_a_finding_each_in_their_order() {
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,7 +1,7 @@
 //! An HTTP/1.1 server that does what a closure says with each request, wrong things included.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,6 +11,19 @@
 /// A request that is longer than this is not read: its connection ends.
 const LONGEST_BODY: usize = 16 << 20;
 
+/// How an idle connection is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    /// By a FIN.
+    Told,
+    /// Without a word, as boxes between do: what is written to it later is answered by a reset.
+    Silent,
+}
+
+/// How long a connection that was closed here is listened to, told and untold.
+const LATE: Duration = Duration::from_millis(500);
+const SILENT: Duration = Duration::from_secs(20);
+
 /// A request as it came.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -67,8 +80,12 @@
     pub address: SocketAddr,
     seen: Mutex<Vec<Request>>,
     records: bool,
-    /// Connections closed after an answer.
+    /// Connections closed after an answer, or while they stood idle.
     pub closed: AtomicUsize,
+    /// Requests that came on a connection after it had been closed here while it stood idle.
+    pub behind: AtomicUsize,
+    /// Connections that stand idle for so long are closed.
+    idle: Mutex<Option<(Duration, Closing)>>,
     behaviour: Mutex<Arc<Behaviour>>,
 }
 
@@ -121,6 +138,8 @@
             seen: Mutex::default(),
             records,
             closed: AtomicUsize::new(0),
+            behind: AtomicUsize::new(0),
+            idle: Mutex::default(),
             behaviour: Mutex::new(Arc::new(behaviour)),
         });
         let shared = server.clone();
@@ -141,7 +160,11 @@
     fn serve(&self, mut stream: TcpStream, connection: usize) {
         let Ok(reading) = stream.set_nodelay(true).and_then(|()| stream.try_clone()) else { return };
         let mut reader = BufReader::new(reading);
-        while let Some(request) = read_request(&mut reader, connection) {
+        loop {
+            if !self.waits(&mut reader, &stream) {
+                return;
+            }
+            let Some(request) = read_request(&mut reader, connection) else { return };
             if self.records {
                 locked(&self.seen).push(request.clone());
             }
@@ -178,6 +201,37 @@
         }
     }
 
+    /// Drops connections that stand idle for so long, from the next request on; none to leave them.
+    pub fn drop_idle(&self, after: Option<(Duration, Closing)>) {
+        *locked(&self.idle) = after;
+    }
+
+    /// Waits for a request's first byte. False if there is none: the connection has ended, or is closed here. Whatever is
+    /// written to it afterwards is counted.
+    fn waits(&self, reader: &mut BufReader<TcpStream>, stream: &TcpStream) -> bool {
+        let idle = *locked(&self.idle);
+        if stream.set_read_timeout(idle.map(|(after, _)| after)).is_err() {
+            return false;
+        }
+        match reader.fill_buf() {
+            Ok(bytes) => !bytes.is_empty() && stream.set_read_timeout(None).is_ok(),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                let silent = idle.is_some_and(|(_, closing)| closing == Closing::Silent);
+                if !silent {
+                    let _ = stream.shutdown(Shutdown::Write);
+                }
+                self.closed.fetch_add(1, Ordering::SeqCst);
+                // What comes is left unread: closing the socket then resets the connection.
+                let _ = stream.set_read_timeout(Some(if silent { SILENT } else { LATE }));
+                if reader.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+                    self.behind.fetch_add(1, Ordering::SeqCst);
+                }
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Behaves otherwise from the next request on.
     pub fn behave(&self, behaviour: impl Fn(&Request) -> Reply + Send + Sync + 'static) {
         *locked(&self.behaviour) = Arc::new(Box::new(behaviour));
--- a/crates/standin/src/tls.rs
+++ b/crates/standin/src/tls.rs
@@ -73,6 +73,17 @@
         Issued { certificate: params.signed_by(&key, &self.issuer).expect("a certificate"), key }
     }
 
+    /// The same as [`Authority::server`], whose sessions can't be resumed.
+    ///
+    /// # Panics
+    /// The certificate can't be used.
+    pub fn server_without_tickets(issued: &Issued) -> Arc<ServerConfig> {
+        let mut config = (*Authority::server(issued, None)).clone();
+        config.send_tls13_tickets = 0;
+        config.session_storage = Arc::new(tokio_rustls::rustls::server::NoServerSessionStorage {});
+        Arc::new(config)
+    }
+
     /// What a server of a certificate needs; with `clients`, clients have to show one of that authority.
     ///
     /// # Panics
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -190,6 +190,7 @@
             number(e.tau_ms),
             span(e.wait_ms),
             span(e.closed_ms),
+            connections(e),
             e.verdict.clone(),
         ]
     };
@@ -204,11 +205,20 @@
         "tau ms",
         "wait",
         "closed for",
+        "connections",
         "verdict",
     ];
     table(&head, &endpoints.iter().map(row).collect::<Vec<_>>(), "no endpoints")
 }
 
+/// How many stand idle, how many are being opened ahead, how many calls found one ready, what a handshake takes and how long
+/// one may stand idle.
+fn connections(e: &Endpoint) -> String {
+    let ahead = if e.dialling > 0 { format!("+{}", e.dialling) } else { String::new() };
+    let (ready, handshake) = (100.0 * e.ready, number(e.handshake_ms));
+    format!("{}{ahead} idle, {ready:.0}% ready, {handshake} ms, idle up to {}", e.idle, span(e.idle_most_ms))
+}
+
 fn queues(queues: &[Queue]) -> String {
     let row = |q: &Queue| {
         let key = if q.key.is_empty() { "-" } else { &q.key };
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -1,8 +1,10 @@
 //! Connections to targets: one call at a time on each, and those that stand idle between calls.
 
+use crate::clock::Clock;
 use crate::descriptors::Drawn;
 use crate::streams::{Tap, Tapped};
 use bytes::Bytes;
+use foldtrack_pool::{Ahead, Counts, Idle};
 use hatchline::{Outcome, TargetId};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -12,12 +14,12 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{sleep, Instant};
 use tokio_rustls::rustls::pki_types::ServerName;
 use tokio_rustls::rustls::{self, ClientConfig};
@@ -54,6 +56,11 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    opened: Instant,
+    /// When it is too old to be used again.
+    retires: Option<Instant>,
+    /// When it ended, if it has.
+    ended: Arc<OnceLock<Instant>>,
     _descriptor: Option<Drawn>,
     pub tap: Arc<Tap>,
 }
@@ -99,8 +106,14 @@
         let handshake = http1::Builder::new().max_buf_size(HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call that is out; between calls they only end the connection.
-        let driver = tokio::spawn(async move { drop(connection.await) });
-        Ok(Connection { sender, driver, _descriptor: descriptor, tap })
+        let ended = Arc::new(OnceLock::new());
+        let noted = ended.clone();
+        let driver = tokio::spawn(async move {
+            drop(connection.await);
+            let _ = noted.set(Instant::now());
+        });
+        let opened = Instant::now();
+        Ok(Connection { sender, driver, opened, retires: None, ended, _descriptor: descriptor, tap })
     }
 
     /// Hands a request to the connection and waits for the head of the answer.
@@ -131,6 +144,12 @@
         Some(body)
     }
 
+    /// How long it had stood idle when it ended, in microseconds; until now if that is not known.
+    fn stood(&self, since: Instant) -> u64 {
+        let until = self.ended.get().copied().unwrap_or_else(Instant::now);
+        until.saturating_duration_since(since).as_micros() as u64
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed() && self.tap.is_quiet()
     }
@@ -181,69 +200,232 @@
     }
 }
 
-/// The connections that stand idle, by target, the one used last at the end.
+/// What is known of one target's connections.
+#[derive(Debug)]
+struct Endpoint {
+    /// Those that stand idle, each with since when; the one used last at the end.
+    idle: Vec<(Instant, Connection)>,
+    learned: Idle,
+    demand: Ahead,
+    /// Calls out.
+    out: usize,
+    /// Dials ahead of demand, by number.
+    dials: BTreeMap<u64, AbortHandle>,
+    /// Calls on connections that stood idle or were opened ahead, and all.
+    ready: u64,
+    calls: u64,
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        self.dials.values().for_each(AbortHandle::abort);
+    }
+}
+
+/// What there is to see of one target's connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SeenConnections {
+    pub idle: usize,
+    pub dialling: usize,
+    /// Share of the calls that waited for no handshake, 0 to 1.
+    pub ready: f64,
+    pub handshake: Duration,
+    /// How long one may stand idle and be used again, as learned.
+    pub longest_idle: Duration,
+}
+
+/// How connections are kept at a site of its own.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Keeping {
+    /// Opened ahead of demand.
+    pub ahead: bool,
+    /// Of one target at most.
+    pub most: usize,
+    /// Retired after this.
+    pub age: Duration,
+}
+
+/// The connections to targets: those that stand idle, and what is known of each target's.
 #[derive(Debug)]
 pub(crate) struct IdleConnections {
+    /// Under the platform: one for all targets.
     trust: Trust,
-    by_target: BTreeMap<TargetId, Vec<(Instant, Connection)>>,
+    by_target: BTreeMap<TargetId, Endpoint>,
     longest: Duration,
     most: usize,
+    /// At a site: what is learned is learned for each target.
+    keeping: Option<Keeping>,
+    clock: Clock,
 }
 
 impl IdleConnections {
     /// Targets close a connection that has been idle for `conn_idle`. A call that meets such a close may have
     /// run, which ends an unsafe message: connections are not used for the last second of it.
-    pub fn new(conn_idle: Duration, most: usize) -> Self {
+    pub fn new(conn_idle: Duration, most: usize, keeping: Option<Keeping>, clock: Clock) -> Self {
         let margin = Duration::from_secs(1).min(conn_idle / 4);
         let (trust, by_target) = (Trust::default(), BTreeMap::new());
-        IdleConnections { trust, by_target, longest: conn_idle - margin, most }
+        IdleConnections { trust, by_target, longest: conn_idle - margin, most, keeping, clock }
     }
 
-    /// A connection for the next call, and how long it has been idle.
+    fn endpoint(&mut self, target: TargetId) -> &mut Endpoint {
+        let told = self.longest.as_micros() as u64;
+        self.by_target.entry(target).or_insert_with(|| Endpoint {
+            idle: Vec::new(),
+            learned: Idle::new(told),
+            demand: Ahead::default(),
+            out: 0,
+            dials: BTreeMap::new(),
+            ready: 0,
+            calls: 0,
+        })
+    }
+
+    /// A connection for the next call, and how long it has been idle. The call counts as out from now on.
     pub fn take(&mut self, target: TargetId) -> Option<(Connection, Duration)> {
         self.drop_old();
-        let idle = self.by_target.get_mut(&target)?;
-        let trust = &self.trust;
-        idle.retain(|(since, c)| trust.holds(since.elapsed()) && c.is_usable());
-        let (since, connection) = idle.pop()?;
-        Some((connection, since.elapsed()))
+        let now = self.clock.now();
+        let learns = self.keeping.is_some();
+        self.endpoint(target);
+        let (trust, endpoint) = (&self.trust, self.by_target.get_mut(&target)?);
+        endpoint.out += 1;
+        endpoint.calls += 1;
+        endpoint.demand.called(now);
+        let taken = if learns {
+            // Those that have stood for longer stay where they are, and are watched.
+            let longest = Duration::from_micros(endpoint.learned.longest(now));
+            loop {
+                let Some((since, connection)) = endpoint.idle.pop() else { break None };
+                if connection.is_usable() && since.elapsed() > longest {
+                    endpoint.idle.push((since, connection));
+                    break None;
+                }
+                if connection.is_usable() {
+                    break Some((since, connection));
+                }
+                endpoint.learned.closed_after(connection.stood(since));
+            }
+        } else {
+            endpoint.idle.retain(|(since, c)| trust.holds(since.elapsed()) && c.is_usable());
+            endpoint.idle.pop()
+        };
+        endpoint.ready += u64::from(taken.is_some());
+        taken.map(|(since, connection)| (connection, since.elapsed()))
     }
 
-    /// A call has ended on a connection that had been idle for so long, or was new.
-    pub fn ended(&mut self, idle: Option<Duration>, outcome: Outcome) {
+    /// A call has ended on a connection that had been idle for so long, or was new and took so long to be made.
+    pub fn ended(
+        &mut self, target: TargetId, idle: Option<Duration>, dialled: Option<Duration>, outcome: Outcome,
+    ) {
         self.trust.ended(idle, outcome == Outcome::Reset);
+        let now = self.clock.now();
+        let Some(endpoint) = self.by_target.get_mut(&target) else { return };
+        endpoint.out = endpoint.out.saturating_sub(1);
+        let idle = idle.map(|idle| idle.as_micros() as u64);
+        match (outcome, idle) {
+            (Outcome::Reset, Some(idle)) => endpoint.learned.reset_after(now, idle),
+            (Outcome::Ok | Outcome::Error | Outcome::Full, Some(idle)) => {
+                endpoint.learned.answered_after(now, idle)
+            }
+            _ => {}
+        }
+        if let Some(took) = dialled {
+            endpoint.demand.opened(took.as_micros() as u64);
+        }
+        endpoint.demand.ended(outcome == Outcome::Ok);
+    }
+
+    /// How many dials to begin for a target, ahead of demand.
+    pub fn dials(&self, target: TargetId) -> usize {
+        let (Some(keeping), Some(e)) = (self.keeping.filter(|k| k.ahead), self.by_target.get(&target)) else {
+            return 0;
+        };
+        let longest = Duration::from_micros(e.learned.longest(self.clock.now()));
+        let fit =
+            e.idle.iter().filter(|(since, c)| since.elapsed() <= longest && !c.sender.is_closed()).count();
+        let counts = Counts { out: e.out, idle: fit, dialling: e.dials.len(), most: keeping.most };
+        e.demand.dials(self.clock.now(), counts)
     }
 
-    pub fn put(&mut self, target: TargetId, connection: Connection) {
-        self.by_target.entry(target).or_default().push((Instant::now(), connection));
-        if self.by_target.values().map(Vec::len).sum::<usize>() > self.most {
+    /// A dial ahead has begun.
+    pub fn dials_ahead(&mut self, target: TargetId, number: u64, dial: AbortHandle) {
+        self.endpoint(target).dials.insert(number, dial);
+    }
+
+    /// A dial ahead has ended; its connection is kept if there is still a use for it.
+    pub fn opened(&mut self, target: TargetId, number: u64, opened: Option<(Connection, Duration)>) {
+        let Some(endpoint) = self.by_target.get_mut(&target) else { return };
+        if endpoint.dials.remove(&number).is_none() {
+            return;
+        }
+        match opened {
+            Some((connection, took)) => {
+                endpoint.demand.opened(took.as_micros() as u64);
+                self.put(target, connection);
+            }
+            None => endpoint.demand.ended(false),
+        }
+    }
+
+    pub fn put(&mut self, target: TargetId, mut connection: Connection) {
+        if let (Some(keeping), None) = (self.keeping, connection.retires) {
+            // Not all at once that were opened at once.
+            let part = 0.75 + 0.25 * fastrand::f64();
+            connection.retires = Some(connection.opened + keeping.age.mul_f64(part));
+        }
+        self.endpoint(target).idle.push((Instant::now(), connection));
+        if self.by_target.values().map(|e| e.idle.len()).sum::<usize>() > self.most {
             self.drop_oldest();
         }
     }
 
     /// Drops the one that has stood idle longest. False if there is none.
     pub fn drop_oldest(&mut self) -> bool {
-        let oldest = self.by_target.values_mut().filter(|v| !v.is_empty()).min_by_key(|v| v[0].0);
-        oldest.map(|v| v.remove(0)).is_some()
+        let idle = self.by_target.values_mut().map(|e| &mut e.idle).filter(|v| !v.is_empty());
+        idle.min_by_key(|v| v[0].0).map(|v| v.remove(0)).is_some()
     }
 
+    /// Nothing new goes to a target: what stands idle is closed, and dials are called off.
     pub fn close(&mut self, target: TargetId) {
         self.by_target.remove(&target);
     }
 
-    /// To be called once a second.
-    pub fn sweep(&mut self) {
+    /// What there is to see of a target's connections.
+    pub fn seen(&self, target: TargetId) -> SeenConnections {
+        let Some(e) = self.by_target.get(&target) else { return SeenConnections::default() };
+        SeenConnections {
+            idle: e.idle.len(),
+            dialling: e.dials.len(),
+            ready: if e.calls > 0 { e.ready as f64 / e.calls as f64 } else { 0.0 },
+            handshake: Duration::from_micros(e.demand.handshake()),
+            longest_idle: Duration::from_micros(e.learned.longest(self.clock.now())),
+        }
+    }
+
+    /// To be called once a second. Gives the targets that have connections, to look whether some are lacking.
+    pub fn sweep(&mut self) -> Vec<TargetId> {
         self.trust.fade();
         self.drop_old();
+        self.by_target.keys().copied().collect()
     }
 
-    /// Drops those that have shown their end or have been idle for too long.
+    /// Drops those that have shown their end, have been idle for too long or are too old. At a site what is seen of them is
+    /// learned from.
     fn drop_old(&mut self) {
-        let now = Instant::now();
-        for idle in self.by_target.values_mut() {
-            idle.retain(|(since, c)| !c.sender.is_closed() && now < *since + self.longest);
+        let (now, longest, learns) = (Instant::now(), self.longest, self.keeping.is_some());
+        for endpoint in self.by_target.values_mut() {
+            let learned = &mut endpoint.learned;
+            endpoint.idle.retain(|(since, c)| {
+                let closed = c.sender.is_closed();
+                match closed {
+                    true => learned.closed_after(c.stood(*since)),
+                    false => learned.open_after(since.elapsed().as_micros() as u64),
+                }
+                !closed && now < *since + longest && c.retires.is_none_or(|at| now < at)
+            });
+        }
+        if !learns {
+            self.by_target.retain(|_, endpoint| !endpoint.idle.is_empty() || endpoint.out > 0);
         }
-        self.by_target.retain(|_, idle| !idle.is_empty());
     }
 }
 
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -66,6 +66,12 @@
         written: bool,
     },
     CallEnded(CallEnd),
+    /// A dial ahead of demand has ended, with a connection and how long it took, or without.
+    Opened {
+        target: TargetId,
+        number: u64,
+        opened: Option<(Connection, Duration)>,
+    },
     List {
         list: ServerList,
         from: SocketAddr,
@@ -152,6 +158,8 @@
     pub report: Option<LimitReport>,
     /// How long its connection had been idle before, if it was not a new one.
     pub idle: Option<Duration>,
+    /// How long its connection took to be made, if it was a new one.
+    pub dialled: Option<Duration>,
     /// Fit for the next call.
     pub connection: Option<Connection>,
 }
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -4,7 +4,7 @@
 use super::{Node, Taken, Waiting};
 use crate::descriptors::Drawn;
 use crate::door::CallEnd;
-use crate::targets::Call;
+use crate::targets::{self, Call};
 use foldtrack_admission::Party;
 use foldtrack_control::Failure;
 use foldtrack_ends::{self as ends, Attempt};
@@ -86,7 +86,7 @@
     pub(super) fn start(&mut self, number: u64, attempt: u32, target: TargetId, until: Micros) {
         let Some(held) = self.messages.get(&number) else { return };
         let (message, tries) = (held.message.clone(), held.tries);
-        let Some((address, zone)) = self.targets.begin_call(target) else {
+        let Some((address, zone, closed)) = self.targets.begin_call(target) else {
             return self.outcome(number, attempt, target, Outcome::NotSent, false);
         };
         let at = self.clock.unix(self.clock.now());
@@ -121,11 +121,13 @@
             until: self.clock.instant(until),
             connection,
             descriptor,
+            closed,
             speech,
             settings: self.settings.clone(),
             reports: self.settings.rate_at.is_some() && self.settings.share_left_at.is_some(),
         };
         self.durable.gathering.calls.push((ticket, call, cancelled));
+        self.open_ahead(target);
     }
 
     /// A descriptor for a new connection. Where calls hold all that they may, the connection that has stood idle longest
@@ -139,18 +141,39 @@
         }
     }
 
+    /// Opens connections to a target before calls ask for them, at a site that does.
+    pub(super) fn open_ahead(&mut self, target: TargetId) {
+        let dials = self.idle.dials(target);
+        if dials == 0 {
+            return;
+        }
+        let Some((address, destination)) = self.targets.open_at(target) else { return };
+        for _ in 0..dials {
+            // What calls need comes first: none of their idle connections gives way for one ahead.
+            let Some(descriptor) = self.descriptors.draw(Party::Calls) else { return };
+            self.next_dial += 1;
+            let (number, speech) = (self.next_dial, self.speeches.of(destination));
+            let timeout = Duration::from_micros(self.settings.settings.connect_timeout);
+            let dial =
+                targets::dial(target, number, address, speech, descriptor, timeout, self.inputs.clone());
+            let dial = tokio::spawn(dial).abort_handle();
+            self.idle.dials_ahead(target, number, dial);
+        }
+    }
+
     pub(super) fn outcome(&mut self, id: u64, attempt: u32, target: TargetId, outcome: Outcome, ended: bool) {
         self.handle(Event::Outcome { id, attempt, target, outcome, took: 0, ended, wait: 0, report: None });
     }
 
     pub(super) fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
-        self.idle.ended(end.idle, end.outcome);
+        self.idle.ended(end.target, end.idle, end.dialled, end.outcome);
         self.attempt_ended(&end);
         let listed = self.targets.end_call(end.target);
         if let Some(connection) = end.connection.filter(|_| listed) {
             self.idle.put(end.target, connection);
         }
+        self.open_ahead(end.target);
         let tries = self.messages.get(&end.number).map(|h| h.tries);
         let held = tries.is_some();
         if end.over && end.outcome != Outcome::Ok && self.site.is_some() {
--- a/src/bin/foldtrack/node/durable.rs
+++ b/src/bin/foldtrack/node/durable.rs
@@ -192,6 +192,7 @@
             wait_until: None,
             report: None,
             idle,
+            dialled: None,
             connection,
         }));
     }
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -14,7 +14,7 @@
 use crate::clients::{self, Desk};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::connections::IdleConnections;
+use crate::connections::{IdleConnections, Keeping};
 use crate::descriptors::{half, Descriptors};
 use crate::door::{Answer, Input, Inputs, Stage};
 use crate::ends_api::Fronts;
@@ -120,6 +120,8 @@
     idle: IdleConnections,
     descriptors: Arc<Descriptors>,
     speeches: Speeches,
+    /// Dials ahead of demand so far.
+    next_dial: u64,
     swept: Instant,
     targets: Targets,
     ids: Ids,
@@ -140,6 +142,12 @@
     let (ends_seen, fronts) = fronts(&config);
     let settings = Arc::new(config.settings);
     let max_attempts = settings.settings.max_attempts;
+    let slots = settings.settings.slots as usize;
+    let keeping = config.site.as_ref().map(|parts| Keeping {
+        ahead: parts.site.calls.open_ahead,
+        most: (slots / 4).max(2),
+        age: Duration::from_micros(parts.site.calls.connection_age),
+    });
     let site = config.site.map(|parts| Appliance::new(parts, ends_seen, config.memory_bytes as u64));
     let name = if site.is_some() { LONGEST_NAME } else { 0 };
     let options = Options {
@@ -155,7 +163,6 @@
     let highest = journal.highest().max(site.as_ref().map_or(0, |s| s.ends.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
     let share = half(config.sockets);
-    let slots = settings.settings.slots as usize;
     let conn_idle = Duration::from_micros(settings.settings.connection_idle);
     let mut node = Node {
         clock,
@@ -176,9 +183,10 @@
         notices: Notices::default(),
         waiting: BTreeSet::new(),
         calls: BTreeMap::new(),
-        idle: IdleConnections::new(conn_idle, share.saturating_sub(slots).max(share / 4)),
+        idle: IdleConnections::new(conn_idle, share.saturating_sub(slots).max(share / 4), keeping, clock),
         descriptors: config.descriptors,
         speeches: config.speeches,
+        next_dial: 0,
         swept: Instant::now(),
         targets: Targets::default(),
         ids: Ids::default(),
@@ -254,7 +262,9 @@
         if self.swept.elapsed() > SWEEP {
             self.swept = Instant::now();
             self.sweep_ends();
-            self.idle.sweep();
+            for target in self.idle.sweep() {
+                self.open_ahead(target);
+            }
             for _ in 0..self.descriptors.over(Party::Calls) {
                 self.idle.drop_oldest();
             }
@@ -287,6 +297,10 @@
             Input::HandIn { message, known, reply } => self.hand_in(message, known, reply),
             Input::Answered { number, written } => self.answered(number, written),
             Input::CallEnded(end) => self.call_ended(end),
+            Input::Opened { target, number, opened } => {
+                let open = self.targets.is_open(target);
+                self.idle.opened(target, number, opened.filter(|_| open));
+            }
             // What the old address has told late does not stand against the new one.
             Input::List { from, .. } if self.discovery.as_ref().is_none_or(|d| from != *d.borrow()) => {}
             Input::List { list, .. } => {
--- a/src/bin/foldtrack/table.rs
+++ b/src/bin/foldtrack/table.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -19,6 +21,15 @@
     leaving: bool,
     /// Calls to it that have no end yet.
     calls: u32,
+    /// Nothing new is to be written to it any more: seen by calls whose connection is yet to be made.
+    closed: Arc<AtomicBool>,
+}
+
+impl Server {
+    fn set(&mut self, gone: bool, leaving: bool) {
+        (self.gone, self.leaving) = (gone, leaving);
+        self.closed.store(gone || leaving, Ordering::Relaxed);
+    }
 }
 
 /// The targets by number. A number stands for one id at one address for one destination: what was learned of a
@@ -40,10 +51,10 @@
         let known = self.numbers.get(&line.id).copied();
         if let Some(server) = known.and_then(|n| self.servers.get_mut(&n)) {
             if (server.address, server.cell, server.zone) == (line.addr, line.cell, zone) && !server.gone {
-                (server.gone, server.leaving) = (gone, leaving);
+                server.set(gone, leaving);
                 return Some((known?, None));
             }
-            server.gone = true;
+            server.set(true, server.leaving);
         }
         if gone {
             return Some((known?, None));
@@ -52,7 +63,19 @@
         self.next += 1;
         self.numbers.insert(line.id.clone(), number);
         let (address, cell, id) = (line.addr, line.cell, line.id.clone());
-        self.servers.insert(number, Server { address, zone, cell, id, gone: false, leaving, calls: 0 });
+        self.servers.insert(
+            number,
+            Server {
+                address,
+                zone,
+                cell,
+                id,
+                gone: false,
+                leaving,
+                calls: 0,
+                closed: Arc::new(AtomicBool::new(leaving)),
+            },
+        );
         Some((number, known))
     }
 
@@ -61,7 +84,7 @@
         self.servers
             .iter_mut()
             .filter(|(number, _)| !named.contains(number))
-            .for_each(|(_, s)| s.gone = true);
+            .for_each(|(_, s)| s.set(true, s.leaving));
     }
 
     /// The destinations that have a target now.
@@ -77,10 +100,16 @@
     }
 
     /// A call begins, unless the target has been closed since the call was decided on.
-    pub fn begin_call(&mut self, number: TargetId) -> Option<(SocketAddr, u32)> {
+    pub fn begin_call(&mut self, number: TargetId) -> Option<(SocketAddr, u32, Arc<AtomicBool>)> {
         let server = self.servers.get_mut(&number).filter(|s| !s.gone && !s.leaving)?;
         server.calls += 1;
-        Some((server.address, server.zone))
+        Some((server.address, server.zone, server.closed.clone()))
+    }
+
+    /// Where a target is that something new may go to, and whose it is.
+    pub fn open_at(&self, number: TargetId) -> Option<(SocketAddr, u32)> {
+        let server = self.servers.get(&number).filter(|s| !s.gone && !s.leaving)?;
+        Some((server.address, server.cell))
     }
 
     /// Whether something new may go to a target.
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -48,6 +49,8 @@
     pub descriptor: Option<Drawn>,
     /// Answers told as limit reports (PROTOCOL).
     pub reports: bool,
+    /// Set once nothing new is to be written to the target any more.
+    pub closed: Arc<AtomicBool>,
     /// How its partner is spoken to.
     pub speech: Arc<Speech>,
     pub settings: Arc<Parsed>,
@@ -62,6 +65,17 @@
     Never,
 }
 
+/// Opens a connection ahead of demand and tells its end.
+pub(crate) async fn dial(
+    target: TargetId, number: u64, address: SocketAddr, speech: Arc<Speech>, descriptor: Drawn,
+    dial_timeout: Duration, inputs: Inputs,
+) {
+    let begun = Instant::now();
+    let opening = Connection::open(address, speech.encryption.as_ref(), Some(descriptor));
+    let opened = timeout(dial_timeout, opening).await.ok().and_then(Result::ok);
+    inputs.send(Input::Opened { target, number, opened: opened.map(|c| (c, begun.elapsed())) });
+}
+
 /// Why there is no connection, for people.
 fn why(error: &io::Error) -> String {
     let tls = error.get_ref().and_then(|inner| inner.downcast_ref::<rustls::Error>());
@@ -82,6 +96,7 @@
         wait_until: None,
         report: None,
         idle: call.connection.as_ref().map(|(_, idle)| *idle),
+        dialled: None,
         connection: None,
     };
     let Call {
@@ -95,19 +110,25 @@
         longest_wait,
         speech,
         settings,
+        closed,
         ..
     } = call;
     let reused = idle.is_some();
     // From when the request is with the connection only an answer proves that it has not run.
     let mut handed_over = None;
+    let mut dialled = None;
     let exchange = async {
         let mut connection = match idle {
             Some((connection, _)) => connection,
             None => {
                 let descriptor = Some(descriptor.ok_or(Unsent::By(Outcome::NotSent))?);
+                let begun = Instant::now();
                 let opening = Connection::open(address, speech.encryption.as_ref(), descriptor);
                 match timeout(dial_timeout, opening).await {
-                    Ok(Ok(connection)) => connection,
+                    Ok(Ok(connection)) => {
+                        dialled = Some(begun.elapsed());
+                        connection
+                    }
                     // Out of descriptors here: that says nothing of the target.
                     Ok(Err(e)) if OWN_LIMITS.map(Some).contains(&e.raw_os_error()) => {
                         return Err(Unsent::By(Outcome::NotSent))
@@ -117,6 +138,10 @@
                 }
             }
         };
+        // Told to drain while the connection was being made: it would be something new.
+        if closed.load(Ordering::Relaxed) {
+            return Err(Unsent::By(Outcome::NotSent));
+        }
         let request = Request::from_parts(
             head(&message, address, until, &speech, &settings)?,
             Full::new(message.body.clone()),
@@ -138,6 +163,7 @@
         () = sleep_until(until) => Err(None),
         Ok(()) = &mut cancelled => Err(Some(Unsent::By(Outcome::Cancelled))),
     };
+    end.dialled = dialled;
     match answer {
         Ok((mut connection, response)) => {
             read_head(&mut end, &response, &speech.dialect, reports, longest_wait);
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -1,6 +1,7 @@
 //! A forwarder of one's own as a process: orders, kept ends, the control line, and kills at bad moments.
 
 mod admission;
+mod connections;
 mod encrypted;
 mod floods;
 mod kills;
--- a/tests/site/world.rs
+++ b/tests/site/world.rs
@@ -24,6 +24,8 @@
     pub update_deadline: &'static str,
     /// How long partners remember the key of an update.
     pub remembered: String,
+    /// Lines of `[calls]`.
+    pub calls: &'static str,
     /// Lines of the partner `p`.
     pub partner: String,
 }
@@ -38,6 +40,7 @@
             durability: "process",
             update_deadline: "24s",
             remembered: "20s".into(),
+            calls: "",
             partner: String::new(),
         }
     }
@@ -48,6 +51,8 @@
             "" => String::new(),
             lines => format!("[admission]\n{lines}\n"),
         };
+        let admission =
+            if self.calls.is_empty() { admission } else { format!("{admission}[calls]\n{}\n", self.calls) };
         let aim = if self.update_deadline == "24s" { "3s" } else { self.update_deadline };
         let mut text = format!(
             "[site]\nlisten = \"{listen}\"\nstate = \"{state}\"\ndurability = \"{}\"\n[limits]\n{}\n{}[ends]\n{}\n\
