--- a/benches/flood.rs
+++ b/benches/flood.rs
@@ -3,12 +3,14 @@
 //! CPU for each connection that was turned away is what the process took beyond what it takes for the same messages without
 //! a flood.
 
+mod common;
 #[path = "../tests/site/floods.rs"]
 mod floods;
 #[allow(dead_code)]
 #[path = "../tests/site/world.rs"]
 mod world;
 
+use common::cpu;
 use floods::{flood, hand_in, p99};
 use foldtrack_standin::{Conduct, Partner};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,14 +20,6 @@
 
 const MESSAGES: usize = 400;
 
-/// CPU seconds that a process has taken (proc(5), in ticks of 10 ms).
-fn cpu(pid: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<f64> =
-        stat.rsplit(')').next().unwrap_or("").split_whitespace().map(|f| f.parse().unwrap_or(0.0)).collect();
-    fields.iter().skip(11).take(2).sum::<f64>() / 100.0
-}
-
 /// What a run took: CPU seconds.
 fn measure(program: &str, what: &str, addresses: &[String], size: usize, quiet: f64) -> f64 {
     std::env::set_var("FOLDTRACK_PROGRAM", program);
--- a/benches/partners.rs
+++ b/benches/partners.rs
@@ -5,10 +5,12 @@
 //! the share of calls that waited for one, and how long deliveries took, with and without opening ahead, while the rate jumps
 //! to two and a half times the usual.
 
+mod common;
 #[allow(dead_code)]
 #[path = "../tests/site/world.rs"]
 mod world;
 
+use common::{cpu, resident};
 use foldtrack_standin::http::{Reply, Server, OK};
 use foldtrack_standin::tls::{Authority, Front};
 use std::sync::Arc;
@@ -22,21 +24,6 @@
 const RATE: f64 = 40.0;
 const JUMPS: [f64; 3] = [1.5, 2.0, 2.5];
 
-/// CPU seconds that a process has taken (proc(5), in ticks of 10 ms).
-fn cpu(pid: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields: Vec<f64> =
-        stat.rsplit(')').next().unwrap_or("").split_whitespace().map(|f| f.parse().unwrap_or(0.0)).collect();
-    fields.iter().skip(11).take(2).sum::<f64>() / 100.0
-}
-
-/// Resident memory in KiB.
-fn resident(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find(|l| l.starts_with("VmRSS")).unwrap_or("");
-    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
-}
-
 struct Far {
     server: Arc<Server>,
     front: Arc<Front>,
