Ask a connection's socket once before it is used again

At a site each call looked twice whether the connection that it takes is quiet, a system call each. The order of the checks is the same: one that has ended teaches and goes, one that is fit and young enough is used, one that is too old stays and is watched. Tests of connections and TLS pass.

--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -295,14 +295,15 @@
             let longest = Duration::from_micros(endpoint.learned.longest(now));
             loop {
                 let Some((since, connection)) = endpoint.idle.pop() else { break None };
-                if connection.is_usable() && since.elapsed() > longest {
-                    endpoint.idle.push((since, connection));
-                    break None;
+                if !connection.is_usable() {
+                    endpoint.learned.closed_after(connection.stood(since));
+                    continue;
                 }
-                if connection.is_usable() {
+                if since.elapsed() <= longest {
                     break Some((since, connection));
                 }
-                endpoint.learned.closed_after(connection.stood(since));
+                endpoint.idle.push((since, connection));
+                break None;
             }
         } else {
             endpoint.idle.retain(|(since, c)| trust.holds(since.elapsed()) && c.is_usable());
