Draw endpoints at random among the idlest, so that a fleet does not crowd one of them

Of 1,840 answers of one partner's two endpoints 1,818 calls had gone to the first and 272 to the second; 411 of the first's were refused, 11 of the second's. The list is the same everywhere, so the first of equals was the same endpoint for all, and "the one used last" kept it so (Brain::endpoint). Each refusal then halves the window and the pace towards the whole partner.

Ruled out by a probe: connections.

The choice among the idlest is drawn by each forwarder's own seed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -220,13 +220,6 @@
         out.append(&mut self.out);
     }
 
-    fn random(&mut self) -> f64 {
-        self.seed ^= self.seed << 13;
-        self.seed ^= self.seed >> 7;
-        self.seed ^= self.seed << 17;
-        (self.seed >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn log(&mut self, text: String) {
         self.logged += 1;
         self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
@@ -708,7 +701,7 @@
         both.map(|(born, id)| (urgency(*born), *id)).max_by(|a, b| a.0.total_cmp(&b.0))
     }
 
-    /// The best endpoint of a lane: not one that failed, few calls in flight, used lately.
+    /// The best endpoint of a lane: not one that failed, few calls in flight.
     fn endpoint(&self, lane: usize, zone: Option<u32>) -> Option<TargetId> {
         let l = &self.lanes[lane];
         let all = l.targets.iter().map(|id| (id, &self.targets[id]));
@@ -718,9 +711,9 @@
             // An endpoint that sits on a call past all that is usual is silent, though the others answer.
             let stuck = |c: &Call| c.target == **id && (self.now - c.sent) as f64 > patience;
             let avoid = t.avoid_until > self.now || l.calls.values().any(stuck);
-            // Among the idlest, the one used last: its connections are the likeliest to be open.
+            // Among the idlest any: the first of a list, or the one used last, is the same for all senders.
             let calls = l.calls.values().filter(|c| c.target == **id).count();
-            (avoid, calls, self.now - t.last_used.min(self.now))
+            (avoid, calls, self.drawn(u64::from(**id)))
         });
         best.map(|(id, _)| *id)
     }
@@ -812,10 +805,7 @@
         let l = &mut self.lanes[lane];
         let part = if first { RETRY_SHARE } else { -1.0 };
         l.retries = (l.retries + part).clamp(0.0, RETRY_SAVED.max(f64::from(saved)));
-        let zone = self.targets.get_mut(&target).map_or(0, |t| {
-            t.last_used = self.now;
-            t.zone
-        });
+        let zone = self.targets.get(&target).map_or(0, |t| t.zone);
         let Some(m) = self.messages.get_mut(&id) else { return call };
         let c = &self.s.classes[m.class];
         let tau = (l.times.tau * jitter) as Micros;
@@ -994,6 +984,8 @@
     }
 }
 
+#[path = "draws.rs"]
+mod draws;
 #[path = "listed.rs"]
 mod listed;
 #[path = "queues.rs"]
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,7 +82,6 @@
     pub lane: usize,
     pub zone: u32,
     pub state: EndpointState,
-    pub last_used: Micros,
     pub avoid_until: Micros,
     /// It has turned a connection away.
     pub denied: bool,
