Ask an overbooked discovery seldom and out of step, the more senders there are

Two watches of 100 were answered; of the 70 forwarders that were killed at 13 s none had a list 20 s later, so that they went on calling endpoints that had gone. 60 to 70 calls a second failed, most turned away within 11 ms, the others after the 2 s that discovery gives a call. At 10 calls a second none was turned away any more and still none answered; from about 4 a second on they were.

At fault in platform.rs: pauses of 50 ms to 1 s, the same for all and without jitter, and LIST_WAIT of 1 s, at which an answer that discovery was still working on was left. Pauses now grow with the number of senders, drawn from a half to one and a half, so that all together ask 3 to 4 times a second at the most; watches stay longer; after news, which reach all in one moment, each asks on within a second. With fewer than ten senders the pauses are what they were.

Tried first: 0.1 s for each sender as the longest pause instead of 0.3 s; calls still failed after 2 s until 34 s, no gain.

--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -120,12 +120,14 @@
         let (sockets, slots) = (file.limits.sockets, file.settings.settings.slots as usize);
         let places = half(sockets).max(1);
         let descriptors = Descriptors::new(sockets, places, slots);
+        let seed =
+            u64::from_str_radix(&file.seed, 16).map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?;
+        let senders = file.settings.settings.senders;
         let discovery = watch::Sender::new(address("BALANCER_DISCOVERY", file.discovery)?);
         let config = Config {
             listen: address("BALANCER_LISTEN", file.listen)?,
             state: PathBuf::from(variable("BALANCER_STATE")?),
-            seed: u64::from_str_radix(&file.seed, 16)
-                .map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?,
+            seed,
             sockets,
             places: Places::new(behind_the_platform(places), Clock::new(), descriptors.clone()),
             descriptors,
@@ -134,7 +136,7 @@
             disk_budget: None,
             settings: file.settings,
             speeches: Speeches::platform(),
-            membership: Box::new(Agent { discovery: discovery.clone(), known: file.known }),
+            membership: Box::new(Agent { discovery: discovery.clone(), known: file.known, senders, seed }),
             discovery: Some(discovery),
             durable: false,
             site: None,
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -2,6 +2,7 @@
 //! and the platform.
 #![warn(missing_docs)]
 
+mod asking;
 mod blocks;
 mod cli;
 mod clients;
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's agent: a watch on the list of targets, and reports on how messages ended.
 
+use crate::asking::Asking;
 use crate::connections::Connection;
 use crate::door::{Input, Inputs};
 use crate::list::ServerList;
@@ -16,13 +17,10 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-/// How long a watch may stay without news, and how much later its answer may come.
-const WATCH: Duration = Duration::from_secs(5);
+/// How much later than its wait the answer to a watch may come.
 const WATCH_LATE: Duration = Duration::from_secs(1);
-const LIST_WAIT: Duration = Duration::from_secs(1);
-/// Pauses after a failure: doubled each time, from the first to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Discovery itself gives a call up after two seconds: who leaves sooner has its work thrown away.
+const LIST_WAIT: Duration = Duration::from_millis(2500);
 /// An agent that answers each watch at once, without news, is not asked more often than this.
 const EMPTY_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_LIST: usize = 4 << 20;
@@ -54,6 +52,9 @@
     pub discovery: watch::Sender<SocketAddr>,
     /// The list as this forwarder last had it; perhaps old.
     pub known: ServerList,
+    /// How many forwarders ask it, and a seed of this one's own.
+    pub senders: u32,
+    pub seed: u64,
 }
 
 impl Membership for Agent {
@@ -64,7 +65,8 @@
     /// What is known may be old: a target that this forwarder was told of as drained, before it restarted, would get
     /// what it held. The agent answers at once, or discovery is down.
     fn watch(&self, inputs: &Inputs) -> bool {
-        tokio::spawn(watch(self.discovery.subscribe(), inputs.clone()));
+        let asking = Asking::new(self.senders, self.seed);
+        tokio::spawn(watch(self.discovery.subscribe(), asking, inputs.clone()));
         true
     }
 
@@ -82,27 +84,27 @@
 }
 
 /// Watches the list for as long as the process runs.
-async fn watch(mut discovery: watch::Receiver<SocketAddr>, inputs: Inputs) {
+async fn watch(mut discovery: watch::Receiver<SocketAddr>, mut asking: Asking, inputs: Inputs) {
     loop {
         let address = *discovery.borrow_and_update();
         // A watch that hangs on an address which is left would not end by itself for seconds.
         tokio::select! {
             biased;
             moved = discovery.changed() => if moved.is_err() { return },
-            () = watch_at(address, &inputs) => {}
+            () = watch_at(address, &mut asking, &inputs) => {}
         }
     }
 }
 
 /// Watches the list at one address, from the whole list on.
-async fn watch_at(address: SocketAddr, inputs: &Inputs) {
+async fn watch_at(address: SocketAddr, asking: &mut Asking, inputs: &Inputs) {
     let mut connection = None;
     let mut version: Option<u64> = None;
-    let mut pause = FIRST_PAUSE;
     loop {
         let (path, wait) = match version {
             Some(v) => {
-                (format!("/v1/servers?since={v}&timeout_ms={}", WATCH.as_millis()), WATCH + WATCH_LATE)
+                let watch = asking.watch();
+                (format!("/v1/servers?since={v}&timeout_ms={}", watch.as_millis()), watch + WATCH_LATE)
             }
             None => ("/v1/servers".to_string(), LIST_WAIT),
         };
@@ -114,17 +116,19 @@
         let Ok(Some((status, body))) = answer else {
             // Silent, or gone: the list stays as it is, and the watch goes on from its version.
             connection = None;
-            sleep(pause).await;
-            pause = (2 * pause).min(LONGEST_PAUSE);
+            sleep(asking.failed()).await;
             continue;
         };
         match serde_json::from_slice::<ServerList>(&body) {
             Ok(list) if status == StatusCode::OK => {
-                pause = FIRST_PAUSE;
                 let empty = !list.full && list.servers.is_empty();
                 version = Some(list.version);
+                let pause = asking.answered(!empty);
                 if !empty {
                     inputs.send(Input::List { list, from: address });
+                    if !pause.is_zero() {
+                        sleep(pause).await;
+                    }
                 } else if asked.elapsed() < EMPTY_PAUSE {
                     sleep(EMPTY_PAUSE).await;
                 }
@@ -136,8 +140,7 @@
                 );
                 // Perhaps the version is unknown there: the whole list is asked for.
                 version = None;
-                sleep(pause).await;
-                pause = (2 * pause).min(LONGEST_PAUSE);
+                sleep(asking.failed()).await;
             }
         }
     }
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -1,4 +1,4 @@
-//! The pace of a sender that is one of many: its calls are a small part of what uses a destination's limit up.
+//! The pace of a sender that is one of many: its calls are a small part of what uses a limit up.
 //! What it sees for itself comes too seldom to find a pace by, so it begins with its even part of the limit
 //! and lets what answers tell of the allowance that is left, which is true for all, move it from there.
 //! No clock, no I/O. `docs/design/fleet.md` has the figures.
@@ -49,7 +49,7 @@
         }
     }
 
-    /// A call of one of many was turned away, and nothing goes before `wait_until`. All that were told the same
+    /// A call of one of many was turned away, and nothing goes before `wait_until`. All that were told one
     /// moment would come at it together: `draw` in 0 to 1 puts each at a place of its own in its span.
     pub(crate) fn refused_in_fleet(&mut self, cut: f64, draw: f64) {
         self.pace = (self.pace * cut).min(SHORT * self.part).max(LEAST * self.part);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -102,7 +102,7 @@
             return (Outcome::Ok, 0, 1.0 - self.came as f64 / self.limit as f64);
         }
         self.refusals += 1;
-        (Outcome::Full, if self.refusals % 2 == 0 { (self.span + 1) * SECOND - now } else { 0 }, 0.0)
+        (Outcome::Full, if self.refusals.is_multiple_of(2) { (self.span + 1) * SECOND - now } else { 0 }, 0.0)
     }
 }
 
