--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -44,7 +44,8 @@
 fn spread(senders: u32, targets: u32, rounds: u64) -> BTreeMap<u32, u64> {
     let mut calls = BTreeMap::new();
     for sender in 0..senders {
-        let mut brain = Brain::new(0, u64::from(sender) * 0x1234_5678_9abc_def1, settings(senders));
+        let mut brain =
+            Brain::new(0, u64::from(sender).wrapping_mul(0x1234_5678_9abc_def1), settings(senders));
         let mut out = Vec::new();
         brain.handle(0, list(targets), &mut out);
         for id in 0..rounds {
