Tell one of many senders in one place, and give its pace one branch

That a sender is one of many stood twice as 10 (pace.rs, asking.rs): hatchline::FLEET serves both. In Brain::judge the fleet's pace was asked for three times in a refusal and twice in an answer, with a factor of 1 for the other case: each has one branch now. Lane::part_of worked out again what limit_is had at hand, UNTOLD repeated the 0.3 there, space_out had one caller, two bounds of asking.rs could never bind; all are gone. tests/fleet.rs makes its lists in one function; its assertions are untouched.

Behaviour is as it was.

--- a/src/bin/foldtrack/asking.rs
+++ b/src/bin/foldtrack/asking.rs
@@ -2,6 +2,7 @@
 //! hundred of them that do keep a discovery which is overbooked turned away from all: each call that it takes in is
 //! answered too late for the one who asked, and each that it turns away comes again within a second.
 
+use hatchline::FLEET;
 use std::time::Duration;
 
 /// How long a watch may stay without news, for one sender of a few; and for each of many.
@@ -14,10 +15,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 const FIRST_PAUSE_EACH: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE_EACH: Duration = Duration::from_millis(300);
-/// News reach all senders in one moment: each asks on within such a span for each of them, of which that may take none if
-/// they are few.
+/// News reach all senders in one moment: where they are many each asks on at some time within so long for each of them.
 const NEWS_EACH: Duration = Duration::from_millis(10);
-const FEW: u32 = 10;
 
 /// How one of so many senders asks.
 #[derive(Debug)]
@@ -41,7 +40,7 @@
     /// An answer has come, with news or without: the pause before the next call.
     pub fn answered(&mut self, news: bool) -> Duration {
         self.failures = 0;
-        if !news || self.senders < FEW {
+        if !news || self.senders < FLEET {
             return Duration::ZERO;
         }
         (NEWS_EACH * self.senders).mul_f64(self.random.f64())
@@ -50,19 +49,16 @@
     /// A call has failed: the pause before the next. With many senders it is drawn from a half to one and a half of what it
     /// is for one, or those that failed together would go on together.
     pub fn failed(&mut self) -> Duration {
-        let doubled = |first: Duration, longest: Duration| {
-            first.saturating_mul(1 << self.failures.min(16)).min(longest.max(first))
-        };
-        let alone = doubled(FIRST_PAUSE, LONGEST_PAUSE);
-        let pause = if self.senders < FEW {
-            alone
-        } else {
-            let one_of_many =
-                doubled(FIRST_PAUSE_EACH * self.senders, LONGEST_PAUSE_EACH * self.senders).max(alone);
-            one_of_many.mul_f64(0.5 + self.random.f64())
+        let (first, longest, part) = match self.senders < FLEET {
+            true => (FIRST_PAUSE, LONGEST_PAUSE, 1.0),
+            false => {
+                let part = 0.5 + self.random.f64();
+                (FIRST_PAUSE_EACH * self.senders, LONGEST_PAUSE_EACH * self.senders, part)
+            }
         };
+        let pause = first.saturating_mul(1 << self.failures.min(16)).min(longest);
         self.failures += 1;
-        pause
+        pause.mul_f64(part)
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -427,14 +427,16 @@
                 l.window = (l.window + more).min((f64::from(self.s.slots) * part).floor().max(1.0));
                 l.budget = (l.budget + RESEND_SHARE).min(RESEND_SAVED);
                 l.rate += (1.0 - RATE_KEEP) * SECOND / UPKEEP as f64;
-                let left = report.filter(|r| r.rate > 0.0).map(|r| r.share_left);
-                l.pace *= 1.0 + if fleet { 0.0 } else { PACE_UP * (2.0 * left.unwrap_or(0.3)).min(1.0) };
+                let left = report.filter(|r| r.rate > 0.0).map_or(0.3, |r| r.share_left);
                 if fleet {
                     l.served_in_fleet(left, self.now);
-                } else if l.limit > 0.0 {
-                    l.pace = l.pace.min(l.limit);
-                } else if l.pace > 4.0 * own.max(1.0) {
-                    l.pace = 0.0;
+                } else {
+                    l.pace *= 1.0 + PACE_UP * (2.0 * left).min(1.0);
+                    if l.limit > 0.0 {
+                        l.pace = l.pace.min(l.limit);
+                    } else if l.pace > 4.0 * own.max(1.0) {
+                        l.pace = 0.0;
+                    }
                 }
                 (l.full_run, l.last_ok) = (0, self.now);
                 let out = l.evidence.is_out(self.now);
@@ -458,20 +460,22 @@
             Outcome::Full => {
                 l.full_run += 1;
                 l.trouble.get_or_insert(self.now);
-                if l.halve(sent, self.now) && !fleet {
-                    // Never under what is being served: that much there is room for.
-                    let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { SECOND / half_aim };
-                    l.pace = down.max(l.rate).max(least_pace);
-                }
+                let due = l.halve(sent, self.now);
                 let run = f64::from(l.full_run.min(6));
                 let pause = (l.times.mean() * jitter * run).min(half_aim);
-                let more = (jitter - 1.0) * gap.max(spread * run).min(even) - half_aim;
-                // Many senders that keep to their parts need not stay away for long besides.
-                let more = if fleet { 0.0 } else { more.max(0.0) };
-                l.wait_until = l.wait_until.max(self.now + pause as Micros) + more as Micros;
+                l.wait_until = l.wait_until.max(self.now + pause as Micros);
                 if fleet {
+                    // Many senders that keep to their parts need not stay away for long besides.
                     let long = l.trouble.is_some_and(|since| self.now > since + SUSPICION);
                     l.refused_in_fleet(if long { 0.0 } else { PACE_DOWN }, 2.0 - jitter);
+                } else {
+                    if due {
+                        // Never under what is being served: that much there is room for.
+                        let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { SECOND / half_aim };
+                        l.pace = down.max(l.rate).max(least_pace);
+                    }
+                    let more = (jitter - 1.0) * gap.max(spread * run).min(even) - half_aim;
+                    l.wait_until += more.max(0.0) as Micros;
                 }
             }
             Outcome::Spoilt => {
@@ -892,9 +896,9 @@
     /// When it moves by far, the pace keeps its part of it: by steps for each served call it would take up to
     /// a minute to come back from a limit that was low for some seconds.
     fn limit_is(&mut self, rate: f64, senders: u32, aim: f64) {
-        self.part = Lane::part_of(rate, senders);
+        let even = rate / f64::from(senders.max(1));
+        self.part = if senders >= FLEET { even } else { 0.0 };
         if self.limit <= 0.0 {
-            let even = rate / f64::from(senders.max(1));
             self.pace = if self.part > 0.0 || even * aim > 3.0 { even } else { 0.0 };
         } else if self.part > 0.0 || rate > LIMIT_MOVES * self.limit || self.limit > LIMIT_MOVES * rate {
             self.pace *= rate / self.limit;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,6 +13,9 @@
 /// A destination: a partner with one or more endpoints.
 pub type DestinationId = u32;
 
+/// Senders from which on each is one of many: it sees less than a tenth of what all of them send.
+pub const FLEET: u32 = 10;
+
 /// What a repeat of a message of a class does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Effect {
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -6,8 +6,6 @@
 use crate::interface::Micros;
 use crate::state::Lane;
 
-/// Senders from which on each sees less than a tenth of what all of them send.
-const FLEET: u32 = 10;
 /// Growth a second, up to its part and beyond it. An answer tells of the time since the one before, but of no
 /// more than this span, in microseconds: what is older the others know too.
 const GROWTH: f64 = 0.3;
@@ -20,22 +18,10 @@
 const MOST: f64 = 2.5;
 const SHORT: f64 = 0.9;
 const LEAST: f64 = 0.3;
-/// Share of the allowance that is taken to be left where an answer does not tell.
-const UNTOLD: f64 = 0.3;
 
 impl Lane {
-    /// Its even part of a limit, where the sender is one of many; else there is none.
-    pub(crate) fn part_of(rate: f64, senders: u32) -> f64 {
-        if senders >= FLEET {
-            rate / f64::from(senders)
-        } else {
-            0.0
-        }
-    }
-
-    /// A call of one of many was served; `left` is what its answer tells of the allowance.
-    pub(crate) fn served_in_fleet(&mut self, left: Option<f64>, now: Micros) {
-        let left = left.unwrap_or(UNTOLD);
+    /// A call of one of many was served; `left` is the share of the allowance that is.
+    pub(crate) fn served_in_fleet(&mut self, left: f64, now: Micros) {
         let told = now.saturating_sub(self.raised).min(TOLD_FOR) as f64 / 1e6;
         self.raised = now;
         let growth = match self.pace < self.part {
@@ -50,14 +36,10 @@
     }
 
     /// A call of one of many was turned away, and nothing goes before `wait_until`. All that were told one
-    /// moment would come at it together: `draw` in 0 to 1 puts each at a place of its own in its span.
+    /// moment would come at it together: `draw` in 0 to 1 has the next call go at a place of its own within a
+    /// span of the pace.
     pub(crate) fn refused_in_fleet(&mut self, cut: f64, draw: f64) {
         self.pace = (self.pace * cut).min(SHORT * self.part).max(LEAST * self.part);
-        self.space_out(draw);
-    }
-
-    /// The next call goes between the end of the wait and a span of the pace later.
-    pub(crate) fn space_out(&mut self, draw: f64) {
         (self.tokens, self.filled) = (self.tokens.min(draw), self.filled.max(self.wait_until));
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -30,9 +30,10 @@
     }
 }
 
-fn list(targets: u32) -> Event {
-    let line =
-        |target| Endpoint { target, destination: 1, state: EndpointState::Ready, ..Endpoint::default() };
+/// So many endpoints of one destination that takes `rate` calls a second, 0 if that is not told.
+fn list(targets: u32, rate: f64) -> Event {
+    let state = EndpointState::Ready;
+    let line = |target| Endpoint { target, destination: 1, state, rate, ..Endpoint::default() };
     Event::List { kind: ListKind::Full, version: 1, endpoints: (0..targets).map(line).collect() }
 }
 
@@ -47,7 +48,7 @@
         let mut brain =
             Brain::new(0, u64::from(sender).wrapping_mul(0x1234_5678_9abc_def1), settings(senders));
         let mut out = Vec::new();
-        brain.handle(0, list(targets), &mut out);
+        brain.handle(0, list(targets, 0.0), &mut out);
         for id in 0..rounds {
             let now = id * SECOND;
             brain.handle(now, request(id, now), &mut out);
@@ -143,18 +144,7 @@
         next += -(1.0 - random.f64()).ln() / rate(next as u64 / SECOND) * SECOND as f64;
     }
     for brain in &mut brains {
-        let endpoint = Endpoint {
-            target: 1,
-            destination: 1,
-            state: EndpointState::Ready,
-            rate: limit as f64,
-            ..Endpoint::default()
-        };
-        brain.handle(
-            0,
-            Event::List { kind: ListKind::Full, version: 1, endpoints: vec![endpoint] },
-            &mut out,
-        );
+        brain.handle(0, list(1, limit as f64), &mut out);
     }
     out.clear();
     while let Some(Reverse((now, _, sender, what))) = queue.pop() {
