--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -188,6 +188,13 @@
         Wire(self.stream.clone())
     }
 
+    /// The call that is out is given up: its connection ends by a reset. Closed in the ordinary way, the kernel goes on sending
+    /// what a cut line has held back, and a message arrives long after it was sent again, or its client was told that it failed.
+    pub fn give_up(&self) {
+        // A socket that takes no option is closed in the ordinary way.
+        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// A request is about to go out.
     pub fn begin(&self) {
         self.first().clear();
--- a/src/bin/foldtrack/targets.rs
+++ b/src/bin/foldtrack/targets.rs
@@ -142,6 +142,10 @@
         if closed.load(Ordering::Relaxed) {
             return Err(Unsent::By(Outcome::NotSent));
         }
+        // It came up in the moment in which the call's time ended: what was decided on in time would be written too late.
+        if Instant::now() >= until {
+            return Err(Unsent::By(Outcome::ConnectFailed));
+        }
         let request = Request::from_parts(
             head(&message, address, until, &speech, &settings)?,
             Full::new(message.body.clone()),
@@ -164,6 +168,9 @@
         Ok(()) = &mut cancelled => Err(Some(Unsent::By(Outcome::Cancelled))),
     };
     end.dialled = dialled;
+    if let (Err(None | Some(Unsent::By(Outcome::Cancelled))), Some(tap)) = (&answer, &handed_over) {
+        tap.give_up();
+    }
     match answer {
         Ok((mut connection, response)) => {
             read_head(&mut end, &response, &speech.dialect, reports, longest_wait);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -316,6 +316,15 @@
         }
     }
 
+    /// By when its next attempt is called off: its time is up, or its destination forgets the key of one that may
+    /// have run. Guards against a connection that comes up late, or bytes that a cut line holds back: what was
+    /// decided in time arrives after the window. Harms repeats that would have been answered just past it.
+    fn called_off(&self, m: &Message) -> Micros {
+        let c = &self.s.classes[m.class];
+        let forgets = m.ran.filter(|_| c.effect == Effect::Keyed).map(|(at, _)| at + c.window);
+        forgets.map_or(m.expires, |at| m.expires.min(at.saturating_sub(self.s.tick)))
+    }
+
     /// Puts a message among those ready to go, if it may be sent and has the turn of its key.
     fn enqueue(&mut self, id: MessageId) {
         let Some(m) = self.messages.get(&id).filter(|m| m.queue.is_none()) else { return };
@@ -724,6 +733,7 @@
             self.next_call
         });
         let (first, saved) = (self.messages.get(&id).is_some_and(|m| m.attempts.is_empty()), self.s.slots);
+        let off = self.messages.get(&id).map_or(0, |m| self.called_off(m));
         let l = &mut self.lanes[lane];
         let part = if first { RETRY_SHARE } else { -1.0 };
         l.retries = (l.retries + part).clamp(0.0, RETRY_SAVED.max(f64::from(saved)));
@@ -740,7 +750,7 @@
         // The lesser of τ and the time left; the time left where no resend may follow.
         let planned =
             again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < m.expires;
-        let until = if planned { self.now + tau } else { m.expires };
+        let until = if planned { off.min(self.now + tau) } else { off };
         m.ran.get_or_insert((self.now, zone));
         if let Some(c) = l.calls.get_mut(&call) {
             c.messages.push((id, m.attempts.len() as u32));
@@ -790,7 +800,7 @@
             let Some(i) = top else { break };
             let (dest, (_, id, lane, target, trial)) = best[i];
             let m = &self.messages[&id];
-            let left = m.expires.saturating_sub(self.now) as f64;
+            let left = self.called_off(m).saturating_sub(self.now) as f64;
             // A keyed message whose window has lapsed while it was held may not go either.
             if !self.allowed(m).0 || left < self.lanes[lane].times.least() {
                 self.give_up(id);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -57,6 +57,26 @@
     field.kept();
 }
 
+/// Found on a day with a zone cut off: a repeat was decided on in time, its connection came up a second later, and it was
+/// written when its destination had forgotten the key. No attempt may outlive the window of the first that may have run.
+#[test]
+fn a_repeat_of_a_keyed_message_is_called_off_with_its_window() {
+    let mut keyed = class(Effect::Keyed);
+    keyed.window = 3 * S;
+    // Nothing is known of answer times yet: attempts wait as long as they may.
+    let mut field = Field::new(settings(vec![keyed]), vec![endpoint(1, 1)]);
+    let id = field.request(0, 1, 0);
+    let first = field.mail[&id].sent[0].at;
+    field.end(id, 0, Outcome::Reset, 0);
+    field.run(S, |_, _, _| None);
+    let sent = &field.mail[&id].sent;
+    assert_eq!(sent.len(), 2);
+    assert!(sent[1].until < first + 3 * S, "until {} µs after the first", sent[1].until - first);
+    field.run(3 * S, |_, _, _| None);
+    assert!(field.mail[&id].over.is_some(), "it is over with its window");
+    field.kept();
+}
+
 /// Found on the first standard days: in a shared call, a wait told to a later message was not taken.
 #[test]
 fn a_wait_told_to_any_message_of_a_call_is_heeded() {
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -649,6 +649,28 @@
     eventually("the call", || target.ids() == ["m1", "m2"]);
 }
 
+/// Found with a zone cut off: what a line holds back is sent on by the kernel after the call was given up and its connection
+/// closed, so that a message arrived after its client had been told that it failed, or behind its own repeat.
+#[test]
+fn a_call_that_is_given_up_does_not_arrive_later() {
+    let target = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // Little is taken in until somebody reads: the rest stays with the sender.
+    target.set_recv_buffer_size(4096).unwrap();
+    target.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    target.listen(8).unwrap();
+    let target = std::net::TcpListener::from(target);
+    let platform = Platform::start(vec![line("s-1", target.local_addr().unwrap(), 1, "active")]);
+    let forwarder = Forwarder::start(&platform);
+    let letter = fee("m1").within(600).body(vec![7; 64 * 1024]);
+    assert_eq!(forwarder.hand_in(&letter), 202);
+    let (mut call, _) = target.accept().unwrap();
+    eventually("the notice", || platform.has("m1", "given_up"));
+    call.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut came = Vec::new();
+    let end = call.read_to_end(&mut came);
+    assert!(came.len() < 64 * 1024, "all of it came: {} bytes, {end:?}", came.len());
+}
+
 /// The answer to an attempt that was given up comes on a connection that nothing else uses.
 #[test]
 fn a_late_answer_reaches_no_later_attempt() {
