--- a/src/brain.rs
+++ b/src/brain.rs
@@ -316,9 +316,9 @@
         }
     }
 
-    /// By when its next attempt is called off: its time is up, or its destination forgets the key of one that may
-    /// have run. Guards against a connection that comes up late, or bytes that a cut line holds back: what was
-    /// decided in time arrives after the window. Harms repeats that would have been answered just past it.
+    /// By when its next attempt is called off: its time is up, or its destination forgets the key of one that
+    /// may have run. Guards against a connection that comes up late, or bytes that a cut line holds back: what
+    /// was decided in time arrives after the window. Harms repeats that would have been answered just past it.
     fn called_off(&self, m: &Message) -> Micros {
         let c = &self.s.classes[m.class];
         let forgets = m.ran.filter(|_| c.effect == Effect::Keyed).map(|(at, _)| at + c.window);
