Mend a clippy error in the fleet's test, and test a fleet killed at once and odd settings

The iterator's last was asked for from the front. New tests over loopback: a fleet killed at once starts again while discovery is silent (FOLDTRACK_FLEET is its size), a notice due behind a cut line arrives when the line is back, and settings that make no sense stop neither the start nor a message.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -224,11 +224,11 @@
         // The timer is the module's own: each step goes where it asks to be woken.
         while !out.iter().any(|a| matches!(a, Action::Send { .. })) {
             brain.decide(now, &mut out);
-            let wake = out.iter().filter_map(|a| match a {
+            let wake = out.iter().rev().find_map(|a| match a {
                 Action::Timer { after, token } => Some((*after, *token)),
                 _ => None,
             });
-            let (after, token) = wake.last().unwrap_or((50_000, 0));
+            let (after, token) = wake.unwrap_or((50_000, 0));
             now += after.min(50_000);
             assert!(now < 8 * SECOND, "sender {sender} holds its message past the aim");
             brain.handle(now, Event::Timer { token }, &mut out);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -450,6 +450,98 @@
     assert!(ids.windows(2).all(|pair| pair[0] != pair[1]), "an unsafe message was sent twice");
 }
 
+/// A release that kills a whole fleet: all at once, in the middle of calls, with their folders kept, and no discovery that tells
+/// anything after it. `FOLDTRACK_FLEET` is how many; there is room for hundreds on a large machine.
+#[test]
+fn a_fleet_killed_at_once_takes_up_its_messages_while_discovery_is_silent() {
+    let count: u32 =
+        std::env::var("FOLDTRACK_FLEET").map_or(6, |n| n.parse().expect("FOLDTRACK_FLEET is a count"));
+    let target = Server::start(|_| Reply::Later(MS(120), 200));
+    let platform = Platform::start(vec![line("s-1", target.address, 1, "active")]);
+    let mut fleet: Vec<Forwarder> = (0..count)
+        .map(|_| Forwarder::start_with(&platform, |c| c["settings"]["balancers"] = count.into()))
+        .collect();
+    let mut taken = Vec::new();
+    for n in 0..8 {
+        for (f, forwarder) in fleet.iter().enumerate() {
+            let (paid, told) = (fee(&format!("p{f}-{n}")), update(&format!("u{f}-{n}"), &format!("k{f}")));
+            for letter in [paid, told] {
+                assert_eq!(forwarder.hand_in(&letter), 202);
+                taken.push(letter.id);
+            }
+        }
+    }
+    platform.fall_silent(true);
+    fleet.iter_mut().for_each(Forwarder::kill);
+    let before = target.seen().len();
+    assert!(before < taken.len(), "nothing was left to take up");
+    let restart = Instant::now();
+    fleet.iter_mut().for_each(Forwarder::start_again);
+    eventually("the first is sent on by the list that is known", || target.seen().len() > before);
+    // Each start waits a quarter of a second for the list, one after another here.
+    assert!(restart.elapsed() < MS(2_000) * count, "after {:?}", restart.elapsed());
+    let answered = || platform.notices().into_iter().map(|n| n.0).collect::<Vec<_>>();
+    eventually("what the list is not needed for", || target.ids().iter().any(|id| id.ends_with("-7")));
+    platform.fall_silent(false);
+    eventually("each has its end", || {
+        let (ids, told) = (target.ids(), answered());
+        taken.iter().all(|id| ids.contains(id) || told.contains(id))
+    });
+    let ids = target.ids();
+    for (f, n) in (0..fleet.len()).flat_map(|f| (0..8).map(move |n| (f, n))) {
+        let paid = format!("p{f}-{n}");
+        assert!(ids.iter().filter(|id| **id == paid).count() <= 1, "{paid} was sent twice");
+    }
+    // A call that was out at the kill may come again, before anything later of its key.
+    for f in 0..fleet.len() {
+        let own: Vec<&String> = ids.iter().filter(|id| id.starts_with(&format!("u{f}-"))).collect();
+        assert!(own.windows(2).all(|pair| pair[0] <= pair[1]), "out of order: {own:?}");
+    }
+}
+
+/// A line that is cut resets nothing: the call stays out, the notice that its time calls for is not answered. It arrives once
+/// the line is back, and the payment was sent once.
+#[test]
+fn a_message_that_runs_out_behind_a_cut_line_gets_its_notice_when_the_line_is_back() {
+    let (target, platform, forwarder) = one_target(|_| Reply::Silence);
+    assert_eq!(forwarder.hand_in(&fee("m1").within(700)), 202);
+    eventually("the call", || target.ids() == ["m1"]);
+    platform.fall_silent(true);
+    let sent = || platform.server.seen().iter().filter(|r| r.method == "POST").count();
+    eventually("the notice goes again and again", || sent() > 2);
+    let before = sent();
+    platform.fall_silent(false);
+    eventually("the notice is taken", || sent() > before);
+    assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
+    sleep(MS(600));
+    assert!(platform.has("m1", "given_up") && target.ids().iter().filter(|id| *id == "m1").count() == 1);
+}
+
+/// A count of forwarders that is missing, nothing or beyond belief, and limits that make no sense.
+#[test]
+fn settings_that_make_no_sense_stop_neither_the_start_nor_a_message() {
+    use serde_json::{json, Value};
+    for (balancers, weight) in
+        [(Value::Null, -5.0), (json!(0), 0.0), (json!(300), 1e300), (json!(u32::MAX), 0.0)]
+    {
+        let target = Server::start(|_| Reply::Headers(200, "X-Load: x0=-1,x1=1e400\r\n".into()));
+        let mut server = line("s-1", target.address, 1, "active");
+        server["weight"] = json!(weight);
+        let platform = Platform::start(vec![server]);
+        let forwarder = Forwarder::start_with(&platform, |config| {
+            match balancers.is_null() {
+                true => drop(config["settings"].as_object_mut().unwrap().remove("balancers")),
+                false => config["settings"]["balancers"] = balancers.clone(),
+            }
+            config["settings"]["weight_source"] = "nominal".into();
+        });
+        for id in ["m1", "m2", "m3"] {
+            assert_eq!(forwarder.hand_in(&fee(id)), 202, "{balancers} {weight}");
+        }
+        eventually("the calls", || target.ids().len() == 3);
+    }
+}
+
 #[test]
 fn sigterm_lets_calls_end_and_the_journal_keeps_the_rest() {
     let target = Server::start(|_| Reply::Later(MS(1_000), 200));
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -20,6 +20,7 @@
     pub server: Arc<Server>,
     list: Arc<List>,
     refuses: Arc<AtomicBool>,
+    silent: Arc<AtomicBool>,
 }
 
 pub fn line(id: &str, address: SocketAddr, cell: u32, state: &str) -> Value {
@@ -36,7 +37,10 @@
         let list = Arc::new((Mutex::new((1, servers)), Condvar::new()));
         let (shared, refuses) = (list.clone(), Arc::new(AtomicBool::new(false)));
         let refused = refuses.clone();
+        let silent = Arc::new(AtomicBool::new(false));
+        let says_nothing = silent.clone();
         let server = Server::start(move |request| match request.path.split_once("since=") {
+            _ if says_nothing.load(Ordering::SeqCst) => Reply::Silence,
             _ if request.method == "POST" && refused.load(Ordering::SeqCst) => Reply::Status(503, ""),
             _ if request.method == "POST" => Reply::Status(204, ""),
             None => {
@@ -56,13 +60,18 @@
                 Reply::Body(answer.to_string().into())
             }
         });
-        Platform { server, list, refuses }
+        Platform { server, list, refuses, silent }
     }
 
     pub fn refuse_notices(&self, refuse: bool) {
         self.refuses.store(refuse, Ordering::SeqCst);
     }
 
+    /// Takes calls in, of any kind, and answers none: as behind a line that is cut.
+    pub fn fall_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
     pub fn change(&self, servers: Vec<Value>) {
         let mut list = self.list.0.lock().unwrap();
         *list = (list.0 + 1, servers);
