--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -123,6 +123,9 @@
         let seed =
             u64::from_str_radix(&file.seed, 16).map_err(|e| format!("{path}: seed {:?}: {e}", file.seed))?;
         let senders = file.settings.settings.senders;
+        if senders == 0 {
+            eprintln!("{path}: settings.balancers is missing or 0: this forwarder counts as the only one");
+        }
         let discovery = watch::Sender::new(address("BALANCER_DISCOVERY", file.discovery)?);
         let config = Config {
             listen: address("BALANCER_LISTEN", file.listen)?,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,8 @@
 
 #[derive(Deserialize)]
 struct Env {
+    /// Lacking, it is 0, which counts as one: no reason to refuse to start.
+    #[serde(default)]
     balancers: u32,
     categories: Vec<Category>,
     #[serde(default)]
