Say in one place when a repeat ends and what a refusal cuts, and tighten three tests

`allowed` worked out the end of a key's window beside `called_off`, which says it: it asks that now. `send` took the lesser of that end and τ where `again` holds τ inside it already. The cut of 0.7 stood in pace.rs and brain.rs (DOWN, PACE_DOWN): one constant serves both. tests/fleet.rs made its senders twice.

The test of a cut line now sees that a notice which was taken does not go again; before, one that was only sent passed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,6 +6,7 @@
 use crate::answers::{AnswerTimes, BUCKETS};
 use crate::estimate::{overtaken, Outlook};
 use crate::interface::*;
+use crate::pace::PACE_DOWN;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,8 +32,7 @@
 const SECOND: f64 = 1e6;
 /// A trouble that was over sooner, in microseconds, was a suspicion: no destination goes cold in that time.
 const SUSPICION: Micros = 1_000_000;
-/// To what a refusal cuts the pace; parts by which a served call, at most, and a span of upkeep raise it.
-const PACE_DOWN: f64 = 0.7;
+/// Parts by which a served call, at most, and a span of upkeep raise the pace.
 const PACE_UP: f64 = 0.08;
 const PACE_RISE: f64 = 0.005;
 /// A limit that changes by more than this has moved; less is noise.
@@ -304,13 +304,12 @@
         let out = m.attempts.iter().any(|a| a.done.is_none());
         let tries_left = m.attempts.len() < self.s.max_attempts.max(1) as usize;
         let open = !m.over && !out && tries_left && m.expires > self.now;
-        let Some((at, zone)) = m.ran else { return (open, 0, !m.over) };
+        let Some((_, zone)) = m.ran else { return (open, 0, !m.over) };
         match c.effect {
             Effect::Repeatable => (open, 0, !m.over),
             Effect::Keyed => {
-                let inside = self.now + self.s.tick < at + c.window;
                 let all = c.group == Group::All;
-                (open && inside, if all { 0 } else { zone + 1 }, !m.over && all)
+                (open && self.now < self.called_off(m), if all { 0 } else { zone + 1 }, !m.over && all)
             }
             Effect::Unsafe => (false, 0, false),
         }
@@ -750,7 +749,7 @@
         // The lesser of τ and the time left; the time left where no resend may follow.
         let planned =
             again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < m.expires;
-        let until = if planned { off.min(self.now + tau) } else { off };
+        let until = if planned { self.now + tau } else { off };
         m.ran.get_or_insert((self.now, zone));
         if let Some(c) = l.calls.get_mut(&call) {
             c.messages.push((id, m.attempts.len() as u32));
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -6,6 +6,8 @@
 use crate::interface::Micros;
 use crate::state::{Gate, Lane};
 
+/// To what a refusal cuts the pace, of one of many as of one of few.
+pub(crate) const PACE_DOWN: f64 = 0.7;
 /// Growth a second, up to its part and beyond it. An answer tells of the time since the one before, but
 /// of no more than this span, in microseconds: what is older the others know too. An answer after such a span
 /// brings a sender from the least to its part, and no further: all grow in step.
@@ -18,9 +20,8 @@
 const USED_UP: f64 = 0.25;
 /// Parts that a sender may take at the most, after a refusal or where nothing is left, and at the
 /// least: all that are behind come to less than the limit with it, and a lower one is not found back
-/// from in a message's time, since a sender's calls are seconds apart. To what a refusal cuts the pace.
+/// from in a message's time, since a sender's calls are seconds apart.
 const MOST: f64 = 2.5;
-const DOWN: f64 = 0.7;
 const SHORT: f64 = 0.9;
 const LEAST: f64 = 0.7;
 /// Part of an aim that a message may wait at its sender at no cost: the call and a second try take the
@@ -60,7 +61,7 @@
     /// one moment would come at it together: `draw` in 0 to 1 has the next call go at a place of its
     /// own within a span of the pace.
     pub(crate) fn refused_in_fleet(&mut self, draw: f64) {
-        self.pace = (self.pace * DOWN).min(SHORT * self.part).max(LEAST * self.part);
+        self.pace = (self.pace * PACE_DOWN).min(SHORT * self.part).max(LEAST * self.part);
         (self.tokens, self.filled) = (self.tokens.min(draw), self.filled.max(self.wait_until));
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -41,12 +41,16 @@
     Event::Request { id, class: 0, destination: 1, order_key: 0, expires: now + 12 * SECOND }
 }
 
+/// One of so many senders, with a seed of its own.
+fn one_of(senders: u32, sender: u32) -> Brain {
+    Brain::new(0, u64::from(sender).wrapping_mul(0x1234_5678_9abc_def1), settings(senders))
+}
+
 /// Calls that each endpoint gets where every one of `senders` sends now and then, one call after another.
 fn spread(senders: u32, targets: u32, rounds: u64) -> BTreeMap<u32, u64> {
     let mut calls = BTreeMap::new();
     for sender in 0..senders {
-        let mut brain =
-            Brain::new(0, u64::from(sender).wrapping_mul(0x1234_5678_9abc_def1), settings(senders));
+        let mut brain = one_of(senders, sender);
         let mut out = Vec::new();
         brain.handle(0, list(targets, 0.0), &mut out);
         for id in 0..rounds {
@@ -216,8 +220,7 @@
     const SENDERS: u32 = 300;
     let mut sent = Vec::new();
     for sender in 0..SENDERS {
-        let mut brain =
-            Brain::new(0, u64::from(sender).wrapping_mul(0x1234_5678_9abc_def1), settings(SENDERS));
+        let mut brain = one_of(SENDERS, sender);
         let (mut out, mut now) = (Vec::new(), 5 * SECOND);
         brain.handle(0, list(1, 150.0), &mut out);
         brain.handle(now, request(1, now), &mut out);
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -515,6 +515,10 @@
     assert_eq!(forwarder.hand_in(&update("m2", "k")), 202);
     sleep(MS(600));
     assert!(platform.has("m1", "given_up") && target.ids().iter().filter(|id| *id == "m1").count() == 1);
+    // What was taken does not go again.
+    let taken = sent();
+    sleep(MS(600));
+    assert_eq!(sent(), taken);
 }
 
 /// A count of forwarders that is missing, nothing or beyond belief, and limits that make no sense.
--- a/tests/site/encrypted.rs
+++ b/tests/site/encrypted.rs
@@ -67,6 +67,16 @@
     assert_eq!(site.post("fee", "", id, "x").0, 202, "{id}");
 }
 
+/// A message in a moment in which no attempt is out: one without an end may have run, rightly.
+fn between_attempts(site: &Site, id: &str) -> foldtrack_control::Message {
+    let mut seen = None;
+    eventually("no attempt is out", || {
+        seen = site.message(id).filter(|m| m.attempts.iter().all(|a| a.until > 0));
+        seen.is_some()
+    });
+    seen.unwrap()
+}
+
 fn causes(site: &Site) -> Vec<String> {
     match site.ask(Ask::Failures { most: None }).unwrap() {
         Told::Failures(all) => all.into_iter().map(|f| f.cause).collect(),
@@ -118,8 +128,8 @@
         let id = format!("m{n}");
         hand_in(&site, &id);
         eventually(cause, || causes(&site).iter().any(|told| told.contains(cause)));
-        let message = site.message(&id).unwrap();
-        assert!(message.attempts.iter().all(|a| a.until == 0 || !a.may_have_run), "{message:?}");
+        let message = between_attempts(&site, &id);
+        assert!(message.attempts.iter().all(|a| !a.may_have_run), "{message:?}");
         let shown = String::from_utf8_lossy(&site.run(&["failures"]).stdout).into_owned();
         assert!(shown.contains(cause), "{shown}");
         pay.front.change(Authority::server(&sound(&pay.authority), None));
@@ -218,7 +228,7 @@
     let without = pay.site("");
     hand_in(&without, "w");
     eventually("it is told", || causes(&without).iter().any(|c| c.contains("CertificateRequired")));
-    assert!(without.message("w").unwrap().attempts.iter().all(|a| a.until == 0 || !a.may_have_run));
+    assert!(between_attempts(&without, "w").attempts.iter().all(|a| !a.may_have_run));
     assert_eq!(pay.server.seen().len() as u64, sent);
 }
 
