Decide without I/O what forwarders of a site tell each other, and keep it in a store

Need: every forwarder of a site is an island; a drain ordered at one is unknown to the others (issue "Forwarders of a site hold one picture").

The change: crates/peers. `ledger` is a set of facts that only grows; a fact is alive until one names it as superseded, and of several alive the safer holds. `machine` is the whole side of a forwarder: datagrams, time and orders in, datagrams and records out. `seal` lets nothing in that is not by the shared secret and for this life.

--- /dev/null
+++ b/crates/peers/src/machine.rs
@@ -0,0 +1,1012 @@
+//! The whole of a forwarder's side, without I/O: time, datagrams and local orders in, [`Output`]s out.
+//!
+//! One owner calls it: [`Peers::datagram`] for each that has come, [`Peers::tick`] when [`Peers::due`] has passed, and
+//! after either [`Peers::outputs`]. Times are milliseconds of one clock that only advances.
+
+use crate::fact::{Dot, Fact, Run, Subject, Word};
+use crate::ledger::{Extent, Ledger, Stretch, Taken, Verdict, BUCKETS};
+use crate::members::{Id, Members, Pace, Standing, Wanted};
+use crate::orders::{Desk, Refusal, Settled};
+use crate::seal::{Head, Kind, Refused, Sealer, Window, PAYLOAD};
+use crate::wire::{pack, unpack, Known, Message};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How often ledgers are compared with one other member, and how often while they differ.
+const DIGEST_EVERY: u64 = 1_000;
+const DIGEST_SOON: u64 = 200;
+/// Members that hear of a new fact's digest at once from whoever has taken it in: how news go round a cut link.
+const RUMOUR: usize = 2;
+/// A fact is pushed again until it is acknowledged: after this span, doubled each time up to the other, so often.
+const PUSH_FIRST: u64 = 60;
+const PUSH_MOST: u64 = 1_000;
+const PUSHES: u32 = 12;
+/// Hellos to a member whose session is not known, and to one that has been silent for so long.
+const HELLO_EVERY: u64 = 500;
+const SILENT: u64 = 10_000;
+/// Within so long after its start a process believes that a higher start number under its name is an earlier life's.
+const JOINING: u64 = 5_000;
+/// An older life that still speaks so long after a younger one was met is another process.
+const STILL_THERE: u64 = 5_000;
+/// How long the author of a damaged fact is asked for his word.
+const ASK_FOR: u64 = 3_000;
+/// How often dead facts are looked through.
+const TIDY_EVERY: u64 = 60_000;
+/// Places in one piece of a summary: about 12 bytes each.
+const PIECE: usize = 40;
+/// Places that are asked for in one message.
+const WANTS: usize = 64;
+/// Events that wait to be taken by the owner.
+const EVENTS: usize = 1_000;
+
+/// What a forwarder is told once.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its own name.
+    pub name: String,
+    /// The names of the others, each once.
+    pub others: Vec<String>,
+    /// Dead facts are dropped after this span.
+    pub horizon: u64,
+    /// Bytes a second that catching up may take, to each side of the sender.
+    pub catch_up: u64,
+    /// A returning forwarder counts as caught up after this span in any case.
+    pub ready_within: u64,
+    /// Spans of the failure detector.
+    pub pace: Pace,
+    /// For random numbers and the session: drawn anew at each start, and not to be guessed.
+    pub seed: u64,
+}
+
+/// What a store has given back.
+#[derive(Clone, Debug, Default)]
+pub struct Restored {
+    /// This life's start number: one more than the last that was kept.
+    pub start: u64,
+    /// Facts, with the time for which each has been dead.
+    pub facts: Vec<(Fact, Option<u64>)>,
+    /// What was known beside them.
+    pub extent: Extent,
+    /// Facts that were kept and could not be read.
+    pub lost: Vec<Dot>,
+    /// The highest start number that each other has been heard under.
+    pub seen: BTreeMap<String, u64>,
+}
+
+/// What a store is to keep.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// A fact, and how long it has been dead.
+    Fact(Fact, Option<u64>),
+    /// A fact is dropped.
+    Drop(Dot),
+    /// What is known beside the facts.
+    Extent(Extent),
+    /// This life's start number.
+    Start(u64),
+    /// The highest start number of another.
+    Seen(String, u64),
+}
+
+/// Something that operators should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// A word for programs.
+    pub kind: &'static str,
+    /// A sentence for people.
+    pub text: String,
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// A datagram for the member of this place in [`Settings::others`].
+    Send(usize, Vec<u8>),
+    /// To be kept; [`Peers::kept`] once it is.
+    Keep(u64, Vec<Record>),
+    /// What holds for a subject may have changed.
+    Changed(Subject),
+    /// A fact that was alive here is dropped: others have dropped it beyond the horizon.
+    Aside(Fact),
+    /// What an order has come to.
+    Settled(u64, Result<Settled, Refusal>),
+    /// For the operators.
+    Event(Event),
+}
+
+/// A member as people are shown it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shown {
+    /// Its name.
+    pub name: String,
+    /// How it stands, and for how long.
+    pub standing: Standing,
+    /// See `standing`.
+    pub for_ms: u64,
+    /// Its start number, 0 if it has never been heard of.
+    pub start: u64,
+    /// How long ago it was heard of; none if not since this process started.
+    pub heard_ms: Option<u64>,
+    /// How long ago its ledger was found to be the same as this one's; none if not yet.
+    pub same_ms: Option<u64>,
+}
+
+/// The life of another that is spoken to now.
+#[derive(Clone, Debug)]
+struct Present {
+    session: u64,
+    window: Window,
+    /// The least span between its clock and this one: what a datagram took beyond that it was under way longer.
+    offset: i64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Link {
+    name: String,
+    present: Option<Present>,
+    /// The highest start number that it has been heard under, and the session of that.
+    start: u64,
+    session: u64,
+    sent: u64,
+    heard: Option<u64>,
+    hello_at: u64,
+    /// When its present life was met first.
+    met: u64,
+    same: Option<u64>,
+    /// An older life still speaks: since it was told to the operators.
+    doubled: bool,
+}
+
+#[derive(Debug)]
+struct Push {
+    missing: BTreeSet<usize>,
+    next: u64,
+    tries: u32,
+}
+
+#[derive(Debug)]
+struct Damage {
+    since: u64,
+    /// Who has the other copy.
+    at: usize,
+    other: Option<Fact>,
+}
+
+/// One forwarder among those of its site.
+#[derive(Debug)]
+pub struct Peers {
+    settings: Settings,
+    sealer: Sealer,
+    random: SmallRng,
+    born: u64,
+    now: u64,
+    run: Run,
+    session: u64,
+    links: Vec<Link>,
+    members: Members,
+    ledger: Ledger,
+    desk: Desk,
+    pushes: BTreeMap<Dot, Push>,
+    damage: BTreeMap<Dot, Damage>,
+    /// Whom to tell that facts are kept, by the ticket under which they go to the store.
+    to_tell: BTreeMap<u64, Vec<(usize, Dot)>>,
+    unticketed: Vec<(usize, Dot)>,
+    records: Vec<Record>,
+    next_ticket: u64,
+    kept_upto: u64,
+    digest_at: u64,
+    tidy_at: u64,
+    /// Bytes that catching up may still take, and when that was reckoned.
+    allowance: u64,
+    reckoned: u64,
+    caught_up: bool,
+    /// Another process runs under this name, and has started later: this one is not heard any more.
+    displaced: bool,
+    old_state: bool,
+    refused: BTreeMap<Refused, u64>,
+    sent: (u64, u64),
+    received: (u64, u64),
+    out: Vec<Output>,
+    events: usize,
+}
+
+impl Peers {
+    /// A forwarder that has just come up at `now`.
+    pub fn new(now: u64, settings: Settings, sealer: Sealer, restored: Restored) -> Peers {
+        let mut random = SmallRng::seed_from_u64(settings.seed);
+        let Restored { start, facts, extent, lost, seen } = restored;
+        let session = random.random::<u64>() | 1;
+        let run = Run { name: settings.name.clone(), start, salt: session };
+        let mut ledger = Ledger::default();
+        for (fact, dead) in facts {
+            ledger.take(fact, now, dead);
+        }
+        ledger.restore(extent, &lost);
+        let link = |name: &String| Link {
+            name: name.clone(),
+            start: seen.get(name).copied().unwrap_or(0),
+            ..Link::default()
+        };
+        let id = Id { name: settings.name.clone(), start, turn: 0 };
+        let members = Members::new(id, settings.others.len(), settings.pace, random.random());
+        Peers {
+            links: settings.others.iter().map(link).collect(),
+            members,
+            ledger,
+            desk: Desk::new(settings.others.len()),
+            random,
+            born: now,
+            now,
+            run,
+            session,
+            pushes: BTreeMap::new(),
+            damage: BTreeMap::new(),
+            to_tell: BTreeMap::new(),
+            unticketed: Vec::new(),
+            records: vec![Record::Start(start)],
+            next_ticket: 1,
+            kept_upto: 0,
+            digest_at: now,
+            tidy_at: now + TIDY_EVERY,
+            allowance: settings.catch_up,
+            reckoned: now,
+            caught_up: settings.others.is_empty(),
+            displaced: false,
+            old_state: false,
+            refused: BTreeMap::new(),
+            sent: (0, 0),
+            received: (0, 0),
+            out: Vec::new(),
+            events: 0,
+            sealer,
+            settings,
+        }
+    }
+
+    /// What was ordered, and holds.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// What holds for a subject.
+    pub fn verdict(&self, subject: &Subject) -> Verdict {
+        self.ledger.verdict(subject)
+    }
+
+    /// This life.
+    pub fn run(&self) -> &Run {
+        &self.run
+    }
+
+    /// Whether its state folder was found to be an older copy: what it says of what has gone out may be out of date.
+    pub fn is_old_state(&self) -> bool {
+        self.old_state
+    }
+
+    /// Whether it has what another has and has met a majority, or has waited for that long enough.
+    pub fn is_ready(&self, now: u64) -> bool {
+        let met = 1 + self.links.iter().filter(|l| l.present.is_some()).count();
+        let members = 1 + self.links.len();
+        self.caught_up && met > members / 2 || now >= self.born + self.settings.ready_within
+    }
+
+    /// Whether its ledger has been found to be the same as another's since the start.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
+    /// Whether another process under its name has taken its place.
+    pub fn is_displaced(&self) -> bool {
+        self.displaced
+    }
+
+    /// Datagrams that were dropped, by why.
+    pub fn refused(&self) -> &BTreeMap<Refused, u64> {
+        &self.refused
+    }
+
+    /// Datagrams and bytes sent, and received and let in.
+    pub fn traffic(&self) -> ((u64, u64), (u64, u64)) {
+        (self.sent, self.received)
+    }
+
+    /// The others, as people are shown them.
+    pub fn shown(&self, now: u64) -> Vec<Shown> {
+        let link = |l: &Link| {
+            let (standing, since) = self.members.standing(&l.name);
+            Shown {
+                name: l.name.clone(),
+                standing,
+                for_ms: if standing == Standing::Unknown { 0 } else { now.saturating_sub(since) },
+                start: l.start,
+                heard_ms: l.heard.map(|at| now.saturating_sub(at)),
+                same_ms: l.same.map(|at| now.saturating_sub(at)),
+            }
+        };
+        self.links.iter().map(link).collect()
+    }
+
+    /// Members that are there now, this one included, and all of them.
+    pub fn quorum(&self) -> (usize, usize) {
+        let there = |l: &&Link| matches!(self.members.standing(&l.name).0, Standing::Up | Standing::Suspect);
+        (1 + self.links.iter().filter(there).count(), 1 + self.links.len())
+    }
+
+    /// When [`Peers::tick`] is to be called next.
+    pub fn due(&self) -> u64 {
+        let pushes = self.pushes.values().map(|p| p.next).min();
+        let hello = self.links.iter().filter(|l| self.wants_hello(l)).map(|l| l.hello_at).min();
+        let damage = self.damage.values().map(|d| d.since + ASK_FOR).min();
+        let wakes = [
+            Some(self.digest_at),
+            Some(self.tidy_at),
+            pushes,
+            hello,
+            damage,
+            self.members.due(),
+            self.desk.due(),
+        ];
+        wakes.into_iter().flatten().min().unwrap_or(self.digest_at)
+    }
+
+    /// What is to be done now.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        if !self.records.is_empty() {
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            let told = std::mem::take(&mut self.unticketed);
+            if !told.is_empty() {
+                self.to_tell.insert(ticket, told);
+            }
+            self.desk.under(ticket);
+            self.out.push(Output::Keep(ticket, std::mem::take(&mut self.records)));
+        }
+        for (ticket, settled) in self.desk.settled() {
+            self.out.push(Output::Settled(ticket, settled));
+        }
+        self.events = 0;
+        std::mem::take(&mut self.out)
+    }
+
+    fn event(&mut self, kind: &'static str, text: String) {
+        if self.events < EVENTS {
+            self.events += 1;
+            self.out.push(Output::Event(Event { kind, text }));
+        }
+    }
+
+    /// What was handed out under this ticket is on disk, and all before it.
+    pub fn kept(&mut self, now: u64, ticket: u64) {
+        self.now = now.max(self.now);
+        self.kept_upto = self.kept_upto.max(ticket);
+        let later = self.to_tell.split_off(&(ticket + 1));
+        let told = std::mem::replace(&mut self.to_tell, later);
+        let mut by_link: BTreeMap<usize, Vec<Dot>> = BTreeMap::new();
+        for (link, dot) in told.into_values().flatten() {
+            by_link.entry(link).or_default().push(dot);
+        }
+        for (link, dots) in by_link {
+            let messages: Vec<Message> = dots.chunks(8).map(|c| Message::Have(c.to_vec())).collect();
+            self.send(link, &messages);
+        }
+        self.desk.kept(ticket);
+    }
+
+    // ---- orders ----
+
+    /// A word that makes things safer: it holds from now on, whoever can be reached. [`Output::Settled`] tells under
+    /// `order` once it is kept here and at another, or after the span in which that could be.
+    ///
+    /// # Errors
+    /// There is no room for more facts.
+    pub fn close(
+        &mut self, now: u64, order: u64, at: u64, subject: Subject, word: Word,
+    ) -> Result<Dot, Refusal> {
+        self.now = now.max(self.now);
+        let dot = self.state(at, subject, word)?;
+        self.desk.stated(self.now, order, dot.clone());
+        Ok(dot)
+    }
+
+    /// The opposite: it holds once a majority of the members has told what it knows against it. [`Output::Settled`]
+    /// tells what has come of it.
+    pub fn open(&mut self, now: u64, order: u64, at: u64, subject: Subject, word: Word) {
+        self.now = now.max(self.now);
+        let nonce = self.random.random::<u64>();
+        self.desk.ask(self.now, order, nonce, at, subject, word);
+        self.ask_all();
+        self.step_queries();
+    }
+
+    /// States what this forwarder has held true since before it had members, without asking anybody.
+    ///
+    /// # Errors
+    /// There is no room for more facts.
+    pub fn import(&mut self, now: u64, at: u64, subject: Subject, word: Word) -> Result<Dot, Refusal> {
+        self.now = now.max(self.now);
+        self.state(at, subject, word)
+    }
+
+    fn state(&mut self, at: u64, subject: Subject, word: Word) -> Result<Dot, Refusal> {
+        let fact = self.ledger.compose(&self.run, at, subject, word);
+        if !fact.is_sound() {
+            return Err(Refusal::Unsound);
+        }
+        let (dot, subject) = (fact.dot.clone(), fact.subject.clone());
+        if self.ledger.take(fact.clone(), self.now, None) != Taken::New {
+            return Err(Refusal::Full);
+        }
+        self.records.push(Record::Fact(fact, None));
+        self.out.push(Output::Changed(subject));
+        let missing = (0..self.links.len()).collect();
+        self.pushes.insert(dot.clone(), Push { missing, next: self.now, tries: 0 });
+        self.step_pushes();
+        Ok(dot)
+    }
+
+    fn ask_all(&mut self) {
+        for (nonce, subject, asked) in self.desk.asking(self.now) {
+            for link in asked {
+                self.send(link, &[Message::Query { nonce, subject: subject.clone() }]);
+            }
+        }
+    }
+
+    fn step_queries(&mut self) {
+        for (order, at, subject, word) in self.desk.answered() {
+            match self.state(at, subject, word) {
+                Ok(dot) => self.desk.stated(self.now, order, dot),
+                Err(refusal) => self.desk.refuse(order, refusal),
+            }
+        }
+    }
+
+    // ---- time ----
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: u64) {
+        self.now = now.max(self.now);
+        let now = self.now;
+        let wanted = self.members.tick(now);
+        self.do_wanted(wanted);
+        for link in 0..self.links.len() {
+            if self.wants_hello(&self.links[link]) && self.links[link].hello_at <= now {
+                self.hello(link);
+            }
+        }
+        self.step_pushes();
+        self.desk.expire(now);
+        self.ask_all();
+        self.step_queries();
+        self.step_damage();
+        if self.digest_at <= now {
+            self.digest_at = now + DIGEST_EVERY / 2 + self.random.random_range(0..DIGEST_EVERY);
+            if let Some(link) = self.any_present(1).first().copied() {
+                self.tell_digest(link);
+            }
+        }
+        if self.tidy_at <= now {
+            self.tidy_at = now + TIDY_EVERY;
+            self.tidy();
+        }
+    }
+
+    fn tidy(&mut self) {
+        let dropped = self.ledger.drop_dead(self.now, self.settings.horizon);
+        self.records.extend(dropped.into_iter().map(Record::Drop));
+        // The ages of the dead go on with the next start.
+        let dead = self.ledger.facts(self.now).filter(|(_, dead)| dead.is_some());
+        self.records.extend(dead.map(|(fact, dead)| Record::Fact(fact.clone(), dead)));
+        self.records.push(Record::Extent(self.ledger.extent()));
+    }
+
+    fn wants_hello(&self, link: &Link) -> bool {
+        let silent = link.heard.is_none_or(|at| self.now > at + SILENT);
+        !self.displaced && (link.present.is_none() || silent)
+    }
+
+    fn hello(&mut self, link: usize) {
+        let wait = if self.now < self.born + JOINING { HELLO_EVERY / 2 } else { HELLO_EVERY };
+        self.links[link].hello_at = self.now + wait + self.random.random_range(0..wait);
+        // As long as its answer, so that nobody gets more out of a forwarder than he puts in.
+        let fill = postcard::to_stdvec(&Known { start: u64::MAX, session: u64::MAX, heard: u64::MAX });
+        self.seal_and_send(link, Kind::Hello, 0, &fill.unwrap_or_default());
+    }
+
+    // ---- sending ----
+
+    fn seal_and_send(&mut self, link: usize, kind: Kind, to: u64, payload: &[u8]) {
+        self.links[link].sent += 1;
+        let head = Head {
+            kind,
+            from: self.run.name.clone(),
+            start: self.run.start,
+            session: self.session,
+            to,
+            seq: self.links[link].sent,
+            sent: self.now,
+        };
+        if let Some(bytes) = self.sealer.seal(&head, payload) {
+            self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
+            self.out.push(Output::Send(link, bytes));
+        }
+    }
+
+    fn send(&mut self, link: usize, messages: &[Message]) {
+        let Some(to) = self.links[link].present.as_ref().map(|p| p.session) else { return };
+        if self.displaced {
+            return;
+        }
+        for payload in pack(messages) {
+            self.seal_and_send(link, Kind::Data, to, &payload);
+        }
+    }
+
+    /// Sends what belongs to catching up, within its share of bytes. What does not fit is asked for again.
+    fn send_paced(&mut self, link: usize, messages: &[Message]) -> bool {
+        let fresh = (self.now - self.reckoned) * self.settings.catch_up / 1000;
+        if fresh > 0 {
+            self.allowance = (self.allowance + fresh).min(self.settings.catch_up);
+            self.reckoned = self.now;
+        }
+        for message in messages {
+            let size = postcard::experimental::serialized_size(message).unwrap_or(PAYLOAD) as u64;
+            if size > self.allowance {
+                return false;
+            }
+            self.allowance -= size;
+            self.send(link, std::slice::from_ref(message));
+        }
+        true
+    }
+
+    fn do_wanted(&mut self, wanted: Wanted) {
+        for (name, data) in wanted.send {
+            if let Some(link) = self.links.iter().position(|l| l.name == name) {
+                self.send(link, &[Message::Swim(data)]);
+            }
+        }
+        for name in wanted.up {
+            if let Some(link) = self.links.iter().position(|l| l.name == name) {
+                self.event("peer_up", format!("{name} is there"));
+                self.tell_digest(link);
+            }
+        }
+        for name in wanted.down {
+            if self.links.iter().any(|l| l.name == name) {
+                self.event("peer_down", format!("{name} is gone, or cut off from here"));
+            }
+        }
+        if wanted.rejoined {
+            let text = "the others held this forwarder to be gone; it is back among them";
+            self.event("rejoined", text.into());
+        }
+    }
+
+    /// Some members that are spoken to, drawn at random.
+    fn any_present(&mut self, count: usize) -> Vec<usize> {
+        let mut present: Vec<usize> =
+            (0..self.links.len()).filter(|l| self.links[*l].present.is_some()).collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !present.is_empty() {
+            drawn.push(present.swap_remove(self.random.random_range(0..present.len())));
+        }
+        drawn
+    }
+
+    fn tell_digest(&mut self, link: usize) {
+        let digest = self.ledger.digest();
+        self.send(link, &[Message::Digest(digest)]);
+    }
+
+    /// Goes round those that lack one of this forwarder's own facts.
+    fn step_pushes(&mut self) {
+        let due: Vec<Dot> =
+            self.pushes.iter().filter(|(_, p)| p.next <= self.now).map(|(d, _)| d.clone()).collect();
+        for dot in due {
+            let Some(fact) = self.ledger.get(&dot).cloned() else {
+                self.pushes.remove(&dot);
+                continue;
+            };
+            let Some(push) = self.pushes.get_mut(&dot) else { continue };
+            push.tries += 1;
+            push.next = self.now + (PUSH_FIRST << push.tries.min(6)).min(PUSH_MOST);
+            let (missing, over) = (push.missing.clone(), push.tries > PUSHES);
+            if over {
+                // Whoever has not answered by now finds it out by digest.
+                self.pushes.remove(&dot);
+                continue;
+            }
+            for link in missing {
+                self.send(link, &[Message::Facts(vec![fact.clone()])]);
+            }
+        }
+    }
+
+    // ---- receiving ----
+
+    /// Takes a datagram in.
+    pub fn datagram(&mut self, now: u64, bytes: &[u8]) {
+        self.now = now.max(self.now);
+        match self.let_in(bytes) {
+            Ok(()) => {
+                self.received = (self.received.0 + 1, self.received.1 + bytes.len() as u64);
+            }
+            Err(refused) => *self.refused.entry(refused).or_default() += 1,
+        }
+    }
+
+    fn let_in(&mut self, bytes: &[u8]) -> Result<(), Refused> {
+        let sealer = self.sealer.clone();
+        let (head, payload) = sealer.open(bytes)?;
+        let link = self.links.iter().position(|l| l.name == head.from).ok_or(Refused::Stranger)?;
+        if head.kind == Kind::Hello {
+            return self.welcome(link, &head, bytes.len());
+        }
+        if head.to != self.session {
+            return Err(Refused::Stale);
+        }
+        self.meet(link, &head)?;
+        let Some(present) = &mut self.links[link].present else { return Err(Refused::Stale) };
+        if !present.window.is_new(head.seq) {
+            return Err(Refused::Replayed);
+        }
+        let span = self.now as i64 - head.sent as i64;
+        present.offset = present.offset.min(span);
+        self.links[link].heard = Some(self.now);
+        if head.kind == Kind::Welcome {
+            let known: Known = postcard::from_bytes(payload).map_err(|_| Refused::Unreadable)?;
+            self.welcomed(link, known);
+            return Ok(());
+        }
+        for message in unpack(payload).ok_or(Refused::Unreadable)? {
+            self.message(link, message)?;
+        }
+        Ok(())
+    }
+
+    /// Answers a hello: to the address of the list, by no more bytes than it had.
+    fn welcome(&mut self, link: usize, head: &Head, length: usize) -> Result<(), Refused> {
+        let l = &self.links[link];
+        let heard = l.heard.map_or(u64::MAX, |at| self.now.saturating_sub(at));
+        let known = Known { start: l.start, session: l.session, heard };
+        let payload = postcard::to_stdvec(&known).map_err(|_| Refused::Unreadable)?;
+        // Both heads have the same fields; the session in place of the 0 is what can make it longer.
+        if length + 10 < payload.len() {
+            return Err(Refused::Unreadable);
+        }
+        self.seal_and_send(link, Kind::Welcome, head.session, &payload);
+        Ok(())
+    }
+
+    /// Whoever writes to this session is a life that has heard of it: the one with the highest start number is the member.
+    fn meet(&mut self, link: usize, head: &Head) -> Result<(), Refused> {
+        let l = &mut self.links[link];
+        let known = l.present.as_ref().map(|p| p.session);
+        if known == Some(head.session) {
+            if head.start > l.start {
+                // It has found that its number was an earlier life's.
+                l.start = head.start;
+                self.records.push(Record::Seen(l.name.clone(), head.start));
+            }
+            return Ok(());
+        }
+        let older =
+            (head.start, head.session) < (l.start, l.session) && l.session != 0 || head.start < l.start;
+        if older {
+            let still = known.is_some() && self.now > l.met + STILL_THERE && !l.doubled;
+            if still {
+                l.doubled = true;
+                let name = l.name.clone();
+                let text = format!(
+                    "two processes run under the name {name}: the one with start number {} goes on while {} is there",
+                    head.start, l.start
+                );
+                self.event("two_processes", text);
+            }
+            return Err(Refused::Stale);
+        }
+        if l.start != head.start {
+            self.records.push(Record::Seen(l.name.clone(), head.start));
+        }
+        (l.start, l.session, l.met, l.doubled) = (head.start, head.session, self.now, false);
+        l.present = Some(Present {
+            session: head.session,
+            window: Window::default(),
+            offset: self.now as i64 - head.sent as i64,
+        });
+        (l.same, l.hello_at) = (None, self.now);
+        let id = Id { name: l.name.clone(), start: head.start, turn: 0 };
+        let wanted = self.members.announce(self.now, id);
+        self.do_wanted(wanted);
+        self.tell_digest(link);
+        for push in self.pushes.values_mut().filter(|p| p.missing.contains(&link)) {
+            (push.next, push.tries) = (self.now, 0);
+        }
+        Ok(())
+    }
+
+    /// What another knows of this forwarder: an earlier life with a higher start number means that the state folder is
+    /// older than that life.
+    fn welcomed(&mut self, link: usize, known: Known) {
+        if known.session == self.session || known.start < self.run.start || known.start == 0 {
+            return;
+        }
+        if known.start == self.run.start && known.session == 0 {
+            // The other has its number from its own store, from before this life or of it: nothing speaks against it.
+            if self.now < self.born + JOINING {
+                return;
+            }
+        }
+        let other = self.links[link].name.clone();
+        if self.now >= self.born + JOINING {
+            if known.heard < STILL_THERE && !self.displaced {
+                self.displaced = true;
+                let text = format!(
+                    "another process runs under the name {} and has start number {}, this one {}: {other} has heard \
+                     it {} ms ago. This one takes no part any more; stop one of the two",
+                    self.run.name, known.start, self.run.start, known.heard
+                );
+                self.event("displaced", text);
+            }
+            return;
+        }
+        self.old_state = true;
+        let before = self.run.start;
+        self.run.start = known.start + 1;
+        self.records.push(Record::Start(self.run.start));
+        let text = format!(
+            "the state folder is older than what {other} knows: this start has number {before}, and one with {} has been \
+             there; going on as {}",
+            known.start, self.run.start
+        );
+        self.event("old_state", text);
+        let id = Id { name: self.run.name.clone(), start: self.run.start, turn: 0 };
+        let wanted = self.members.restart(self.now, id);
+        self.do_wanted(wanted);
+        for link in 0..self.links.len() {
+            self.hello(link);
+        }
+    }
+
+    fn message(&mut self, link: usize, message: Message) -> Result<(), Refused> {
+        match message {
+            Message::Swim(data) => {
+                let (read, wanted) = self.members.heard(self.now, &data);
+                self.do_wanted(wanted);
+                return read.then_some(()).ok_or(Refused::Unreadable);
+            }
+            Message::Facts(facts) => return facts.into_iter().try_for_each(|f| self.fact(link, f)),
+            Message::Have(dots) => dots.iter().for_each(|dot| self.has(link, dot)),
+            Message::Digest(sums) => self.digest(link, &sums),
+            Message::Summary { bucket, echo, stretches } => {
+                if bucket as usize >= BUCKETS {
+                    return Err(Refused::Unreadable);
+                }
+                stretches.iter().for_each(|s| self.stretch(link, s));
+                if echo {
+                    self.tell_bucket(link, bucket as usize, false);
+                }
+            }
+            Message::Want { run, seqs } => {
+                let dots = seqs.into_iter().take(WANTS).map(|seq| Dot { run: run.clone(), seq });
+                let facts: Vec<Fact> = dots.filter_map(|d| self.ledger.get(&d).cloned()).collect();
+                let messages: Vec<Message> = facts.into_iter().map(|f| Message::Facts(vec![f])).collect();
+                self.send_paced(link, &messages);
+            }
+            Message::Query { nonce, subject } => {
+                let facts = self.ledger.about(&subject);
+                // What does not fit one datagram goes before it by itself.
+                let (few, more) = facts.split_at(facts.len().min(2));
+                let mut messages: Vec<Message> =
+                    more.iter().map(|f| Message::Facts(vec![f.clone()])).collect();
+                messages.push(Message::Answer { nonce, facts: few.to_vec() });
+                self.send(link, &messages);
+            }
+            Message::Answer { nonce, facts } => {
+                facts.into_iter().try_for_each(|f| self.fact(link, f))?;
+                self.desk.answer(link, nonce);
+                self.step_queries();
+            }
+            Message::AskWord(dot) => {
+                if dot.run.name == self.run.name {
+                    if let Some(fact) = self.ledger.get(&dot).cloned() {
+                        self.send(link, &[Message::Word(Box::new(fact))]);
+                    }
+                }
+            }
+            Message::Word(fact) => {
+                if fact.dot.run.name == self.links[link].name && fact.is_sound() {
+                    self.word(*fact);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn fact(&mut self, link: usize, fact: Fact) -> Result<(), Refused> {
+        if !fact.is_sound() {
+            return Err(Refused::Unreadable);
+        }
+        let (dot, subject) = (fact.dot.clone(), fact.subject.clone());
+        match self.ledger.take(fact.clone(), self.now, None) {
+            Taken::New => {
+                self.records.push(Record::Fact(fact, None));
+                self.out.push(Output::Changed(subject));
+                // The subjects of what it supersedes are its own: nothing else has changed.
+                for other in self.any_present(RUMOUR) {
+                    if other != link {
+                        self.tell_digest(other);
+                    }
+                }
+            }
+            Taken::Known | Taken::Dropped if self.records.is_empty() => {
+                let handed = self.next_ticket - 1;
+                if self.kept_upto == handed {
+                    self.send(link, &[Message::Have(vec![dot])]);
+                } else {
+                    self.to_tell.entry(handed).or_default().push((link, dot));
+                }
+                return Ok(());
+            }
+            Taken::Known | Taken::Dropped => {}
+            Taken::Damaged => {
+                self.found_damaged(link, dot, Some(fact));
+                return Ok(());
+            }
+            Taken::Full => {
+                self.event("ledger_full", format!("there is no room for {dot} of {}", self.links[link].name));
+                return Ok(());
+            }
+        }
+        self.unticketed.push((link, dot));
+        Ok(())
+    }
+
+    /// Another has a fact on disk.
+    fn has(&mut self, link: usize, dot: &Dot) {
+        self.desk.copied(link, dot);
+        let Some(push) = self.pushes.get_mut(dot) else { return };
+        push.missing.remove(&link);
+        if push.missing.is_empty() {
+            self.pushes.remove(dot);
+        }
+    }
+
+    fn digest(&mut self, link: usize, sums: &[u64; BUCKETS]) {
+        let own = self.ledger.digest();
+        if own == *sums {
+            self.links[link].same = Some(self.now);
+            if !self.caught_up {
+                self.caught_up = true;
+                let text = format!("caught up: the ledger is the same as that of {}", self.links[link].name);
+                self.event("caught_up", text);
+                // Whoever compares with this one may have caught up by that as well.
+                self.tell_digest(link);
+            }
+            return;
+        }
+        // Until they are the same it goes on soon.
+        self.digest_at = self.digest_at.min(self.now + DIGEST_SOON);
+        for bucket in (0..BUCKETS).filter(|n| own[*n] != sums[*n]) {
+            self.tell_bucket(link, bucket, true);
+        }
+    }
+
+    fn tell_bucket(&mut self, link: usize, bucket: usize, echo: bool) {
+        let pieces = self.ledger.summary(bucket, PIECE);
+        if pieces.is_empty() && echo {
+            let empty = Message::Summary { bucket: bucket as u8, echo, stretches: Vec::new() };
+            self.send_paced(link, &[empty]);
+            return;
+        }
+        for (n, piece) in pieces.into_iter().enumerate() {
+            let message =
+                Message::Summary { bucket: bucket as u8, echo: echo && n == 0, stretches: vec![piece] };
+            if !self.send_paced(link, &[message]) {
+                return;
+            }
+        }
+    }
+
+    fn stretch(&mut self, link: usize, told: &Stretch) {
+        let seen = self.ledger.compare(told, self.now);
+        let mut changed: BTreeSet<Subject> = seen.died;
+        for fact in seen.aside {
+            let text = format!(
+                "{} of {} said {} {}, and is laid aside: {} has dropped it, it was superseded while this forwarder was away",
+                fact.dot, fact.dot.run.name, fact.word.name(), fact.subject, self.links[link].name
+            );
+            self.event("laid_aside", text);
+            self.records.push(Record::Drop(fact.dot.clone()));
+            changed.insert(fact.subject.clone());
+            self.out.push(Output::Aside(fact));
+        }
+        self.out.extend(changed.into_iter().map(Output::Changed));
+        if seen.advanced {
+            self.records.push(Record::Extent(self.ledger.extent()));
+        }
+        for dot in seen.damaged {
+            self.found_damaged(link, dot, None);
+        }
+        for chunk in seen.lacking.chunks(WANTS) {
+            let seqs = chunk.iter().map(|d| d.seq).collect();
+            self.send(link, &[Message::Want { run: told.run.clone(), seqs }]);
+        }
+    }
+
+    // ---- copies that differ ----
+
+    fn found_damaged(&mut self, link: usize, dot: Dot, other: Option<Fact>) {
+        if dot.run.name == self.run.name {
+            // One's own word counts: the other will ask for it.
+            return;
+        }
+        let fetch = other.is_none();
+        if let Some(damage) = self.damage.get_mut(&dot) {
+            damage.other = other.or(damage.other.take());
+            return;
+        }
+        let text = format!(
+            "{dot} has another content at {} than here: it is not merged, and {} is asked for its word",
+            self.links[link].name, dot.run.name
+        );
+        self.event("damage", text);
+        self.damage.insert(dot.clone(), Damage { since: self.now, at: link, other });
+        if fetch {
+            self.send(link, &[Message::Want { run: dot.run.clone(), seqs: vec![dot.seq] }]);
+        }
+        if let Some(author) = self.links.iter().position(|l| l.name == dot.run.name) {
+            self.send(author, &[Message::AskWord(dot)]);
+        }
+    }
+
+    /// The author's word comes in the place of whatever is there.
+    fn word(&mut self, fact: Fact) {
+        if self.damage.remove(&fact.dot).is_none() || self.ledger.get(&fact.dot) == Some(&fact) {
+            return;
+        }
+        self.event("repaired", format!("{} is as its author has it", fact.dot));
+        self.put(fact);
+    }
+
+    fn put(&mut self, fact: Fact) {
+        let before = self.ledger.get(&fact.dot).map(|f| f.subject.clone());
+        self.out.extend(before.into_iter().chain([fact.subject.clone()]).map(Output::Changed));
+        self.records.push(Record::Fact(fact.clone(), None));
+        self.ledger.replace(fact, self.now);
+    }
+
+    /// Where the author has not answered, the copy counts that [`Fact::counts_over`] names: the same at all.
+    fn step_damage(&mut self) {
+        let due: Vec<Dot> = self
+            .damage
+            .iter()
+            .filter(|(_, d)| self.now >= d.since + ASK_FOR)
+            .map(|(dot, _)| dot.clone())
+            .collect();
+        for dot in due {
+            let Some(damage) = self.damage.remove(&dot) else { continue };
+            let Some(other) = damage.other else { continue };
+            let holder = self.links[damage.at].name.clone();
+            let ours = self.ledger.get(&dot).is_some_and(|own| own.counts_over(&other));
+            let whose = if ours { "this forwarder".to_string() } else { holder };
+            let text = format!(
+                "{dot}: {} does not answer; the copy of {whose} counts, the safer one or else the one of the lower sum",
+                dot.run.name
+            );
+            self.event("damage_settled", text);
+            if !ours {
+                self.put(other);
+            }
+        }
+    }
+
+    /// Tells all that this forwarder goes.
+    pub fn leave(&mut self, now: u64) {
+        self.now = now.max(self.now);
+        let wanted = self.members.leave(self.now);
+        self.do_wanted(wanted);
+    }
+}
