--- a/crates/control/src/protocol.rs
+++ b/crates/control/src/protocol.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 /// Version of the protocol. A request names it; another one is refused with this one told.
 pub const VERSION: u32 = 1;
@@ -111,6 +112,10 @@
         /// As it was blocked.
         network: String,
     },
+    /// The other forwarders of the site, and how they stand.
+    Peers,
+    /// What was ordered anywhere on the site and holds, with who said it.
+    State,
     /// An order: the process ends, once what is out has ended or its time is up.
     Stop,
 }
@@ -146,6 +151,10 @@
     Message(Box<Message>),
     /// Clients.
     Clients(Box<Clients>),
+    /// The other forwarders.
+    Peers(Box<Peers>),
+    /// What was ordered and holds.
+    State(Box<SiteState>),
     /// An order has been carried out, and outlives the process and the power.
     Done(Done),
     /// A push: all that a subscription shows.
@@ -187,7 +196,7 @@
 }
 
 /// What an order has come to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Done {
     /// False if things were so already.
     pub changed: bool,
@@ -197,6 +206,104 @@
     pub calls: u32,
     /// Messages that are held for its partner.
     pub held: u32,
+    /// Other forwarders of the site that have it on disk by now, and how many others there are; 0 of 0 where this one is
+    /// alone.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub copies: u32,
+    /// See `copies`.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub others: u32,
+}
+
+fn is_none(number: &u32) -> bool {
+    *number == 0
+}
+
+/// The forwarders of a site, as one of them sees them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Peers {
+    /// This one's name, and its start number.
+    pub name: String,
+    /// See `name`.
+    pub start: u64,
+    /// `caught_up`, `catching_up`, `alone` (it has waited long enough for others) or `displaced` (another process has
+    /// taken its name: it takes no part any more).
+    pub mode: String,
+    /// Forwarders that are there, this one included, of how many; and how many are a majority.
+    pub there: u32,
+    /// See `there`.
+    pub members: u32,
+    /// See `there`.
+    pub majority: u32,
+    /// The others.
+    pub others: Vec<Peer>,
+    /// Datagrams and bytes since the start, out and in.
+    pub sent: u64,
+    /// See `sent`.
+    pub sent_bytes: u64,
+    /// See `sent`.
+    pub received: u64,
+    /// See `sent`.
+    pub received_bytes: u64,
+    /// Datagrams that were dropped, by why: `forged`, `replayed`, `stale`, `stranger`, `foreign`, `oversized`, `unreadable`,
+    /// `crowded`.
+    pub dropped: BTreeMap<String, u64>,
+    /// What could not be kept on disk yet; empty if all is.
+    pub unkept: String,
+}
+
+/// Another forwarder.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Peer {
+    /// Its name.
+    pub name: String,
+    /// `up`, `suspect`, `down`, or `unknown` (not heard of since this process started).
+    pub standing: String,
+    /// For how long.
+    pub for_ms: u64,
+    /// Its start number, 0 if it was never heard of.
+    pub start: u64,
+    /// How long ago it was heard of; none if not since this process started.
+    pub heard_ms: Option<u64>,
+    /// How long ago its state was found to be the same as here; none if not yet.
+    pub same_ms: Option<u64>,
+}
+
+/// What was ordered on a site and holds, as one forwarder has it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SiteState {
+    /// Whose picture it is.
+    pub name: String,
+    /// A number that two forwarders share if they have the same.
+    pub digest: String,
+    /// Statements that hold; those of a subject that are more than one contradict each other.
+    pub statements: Vec<Statement>,
+}
+
+/// A statement.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Statement {
+    /// `endpoint`, `partner` or `network`, and its name.
+    pub kind: String,
+    /// See `kind`.
+    pub subject: String,
+    /// `close`, `open`, `add` or `remove`.
+    pub word: String,
+    /// Whether it is the one that counts here.
+    pub holds: bool,
+    /// Its name: forwarder, start number and place.
+    pub id: String,
+    /// When, by the clock of the forwarder that it was said to, Unix time in microseconds.
+    pub at: u64,
+    /// What it has superseded.
+    pub over: Vec<String>,
+    /// For `add`: whose it is, and where.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub detail: String,
 }
 
 /// Figures of the whole. Counts are since the process started.
--- a/crates/membership/src/log.rs
+++ b/crates/membership/src/log.rs
@@ -97,6 +97,14 @@
         Ok(self.state.site_says(site))
     }
 
+    /// What an order would do, without doing it.
+    ///
+    /// # Errors
+    /// It is refused.
+    pub fn judge(&self, order: &Order) -> Result<Change, Refusal> {
+        self.state.judge(order, self.most)
+    }
+
     /// Carries out an order: in the file first, then in the state. It outlives the process from the return on, and
     /// the machine's power from when [`Log::file`] has been synced.
     ///
--- /dev/null
+++ b/crates/rig/src/run.rs
@@ -0,0 +1,530 @@
+//! A play: a story on a fleet of real processes, under load, judged from the books of partners and clients.
+
+use crate::clients::{self, Books as ClientBooks, Load, Taken};
+use crate::faults::Faults;
+use crate::fleet::{get, Fleet, FolderAs, Listed, Plan};
+use crate::net::Name;
+use crate::story::{Step, Story, What};
+use crate::verdict::{Breaches, Drain, Report};
+use foldtrack_control::Ask;
+use foldtrack_standin::books::{judge, Books, Verdict};
+use foldtrack_standin::{Conduct, Partner};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+/// After the load: by when all that was taken on has ended, and all have the same picture.
+const OVER: Duration = Duration::from_secs(14);
+const SAME: Duration = Duration::from_secs(12);
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Classes and limits of the rig's sites. Deadlines are short, so that a play is.
+const TOP: &str = "durability = \"process\"\n[limits]\nmessages = 4000\ndisk = \"256MiB\"\n\
+    [admission]\nknown = [\"127.0.0.0/8\"]\n\
+    [class.update]\neffect = \"keyed\"\nremembered = \"20s\"\nordered = true\naim = \"1s\"\ndeadline = \"8s\"\n\
+    [class.payment]\neffect = \"once\"\naim = \"1s\"\ndeadline = \"8s\"\nworth = 3\n\
+    [class.notice]\neffect = \"repeatable\"\naim = \"1s\"\ndeadline = \"8s\"\n";
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// The story's name, for the report.
+    pub name: String,
+    /// The story.
+    pub story: Story,
+    /// How many forwarders.
+    pub forwarders: usize,
+    /// Sets all that is drawn.
+    pub seed: u64,
+    /// They know of each other; without it they are as separate installations, for comparisons.
+    pub peers: bool,
+    /// Further lines of `[peers]`.
+    pub peers_lines: String,
+}
+
+impl Play {
+    /// A story as it is told.
+    pub fn of(name: &str, story: Story, forwarders: usize, seed: u64) -> Play {
+        Play { name: name.into(), story, forwarders, seed, peers: true, peers_lines: String::new() }
+    }
+}
+
+/// How far a play has come, for whoever watches.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// What is being done.
+    pub doing: Mutex<String>,
+    /// Part of the whole, in thousandths.
+    pub part: AtomicU64,
+}
+
+impl Progress {
+    fn at(&self, doing: &str, part: f64) {
+        *self.doing.lock().unwrap_or_else(PoisonError::into_inner) = doing.to_string();
+        self.part.store((part * 1000.0) as u64, Ordering::Relaxed);
+    }
+}
+
+/// The partners of a rig: name, weight of its messages, conduct, endpoints, lines of the site file.
+fn partners(seed: u64) -> Vec<(&'static str, u32, Partner, usize, &'static str)> {
+    let ms = Duration::from_millis;
+    let remembers = Duration::from_secs(30);
+    let steady = Conduct { answers: (ms(2), ms(15)), remembers, ..Conduct::default() };
+    let limited = Conduct {
+        answers: (ms(2), ms(10)),
+        rate: Some(40.0),
+        wait: ms(400),
+        remembers,
+        ..Conduct::default()
+    };
+    let shaky = Conduct {
+        answers: (ms(5), ms(40)),
+        errors: 0.01,
+        resets: 0.01,
+        capacity: 200.0,
+        remembers,
+        ..Conduct::default()
+    };
+    vec![
+        ("steady", 60, Partner::start(seed, steady), 2, ""),
+        ("limited", 15, Partner::start(seed + 1, limited), 2, ""),
+        ("shaky", 25, Partner::start(seed + 2, shaky), 1, ""),
+    ]
+}
+
+/// Plays a story.
+///
+/// # Errors
+/// The play itself could not be done, in a line: that is no verdict on the forwarders.
+pub fn play(program: &Path, play: &Play, progress: &Progress) -> Result<Report, String> {
+    let Play { story, forwarders, seed, .. } = play;
+    if *forwarders < story.forwarders {
+        return Err(format!("the story needs {} forwarders", story.forwarders));
+    }
+    progress.at("starting", 0.0);
+    let partners = partners(*seed);
+    let listed = partners.iter().map(|(name, _, partner, endpoints, lines)| Listed {
+        name: name.to_string(),
+        endpoints: (1..=*endpoints).map(|n| (format!("{name}-{n}"), partner.address())).collect(),
+        lines: lines.to_string(),
+    });
+    let plan = Plan {
+        forwarders: *forwarders,
+        partners: listed.collect(),
+        top: TOP.into(),
+        peers: play.peers,
+        peers_lines: play.peers_lines.clone(),
+        clocks: story.clocks.clone(),
+    };
+    let mut fleet = Fleet::prepare(program, &plan, *seed)?;
+    fleet.start_all()?;
+    // The links' own faults begin once all have met.
+    let own: Vec<Name> = own_links(&fleet);
+    own.iter().for_each(|name| fleet.net.change(name, |f| *f = story.links.clone()));
+
+    let listens: Vec<SocketAddr> = fleet.forwarders.iter().map(|f| f.listen).collect();
+    let shares: Vec<(String, u32)> =
+        partners.iter().map(|(name, weight, ..)| (name.to_string(), *weight)).collect();
+    let over = AtomicBool::new(false);
+    let load = Load {
+        to: &listens,
+        rate: story.rate,
+        lasts: story.lasts,
+        seed: *seed,
+        elsewhere: story.elsewhere,
+        partners: &shares,
+        over: &over,
+    };
+    let begun = Instant::now();
+    let mut told = Tellings::default();
+    let mut stage = Stage { fleet: &mut fleet, own, story, partners: &partners, drains: Vec::new(), begun };
+    let (books, played) = scope(|scope| {
+        let clients = scope.spawn(|| clients::hand_in(&load));
+        let played = stage.act(&mut told, progress);
+        if played.is_err() {
+            over.store(true, Ordering::Relaxed);
+        }
+        (clients.join().unwrap_or_default(), played)
+    });
+    played?;
+    let drains = std::mem::take(&mut stage.drains);
+
+    // Everybody is there again, and nothing stands between them.
+    progress.at("coming together", 0.7);
+    let since = Instant::now();
+    let own = own_links(&fleet);
+    own.iter().for_each(|name| fleet.net.change(name, |f| *f = Faults::default()));
+    for place in 0..fleet.forwarders.len() {
+        if fleet.forwarders[place].is_stopped() {
+            fleet.forwarders[place].go_on();
+        }
+        fleet.forwarders[place].wait_for_end();
+        if !fleet.forwarders[place].is_running() {
+            fleet.start(place, FolderAs::Left)?;
+        }
+    }
+    // Those that do not know of each other have nothing to wait for.
+    let within = if play.peers { SAME } else { Duration::ZERO };
+    let together = converge(&fleet, &mut told, &drains, since, within);
+    progress.at("waiting for all ends", 0.85);
+    wait_for_ends(&fleet);
+    progress.at("reading the books", 0.98);
+    let judged = judge_all(&fleet, &partners, &books, &drains, &told)?;
+    progress.at("over", 1.0);
+    let mut report = judged;
+    report.scenario = play.name.clone();
+    report.seed = *seed;
+    report.forwarders = *forwarders;
+    report.least = story.least;
+    (report.breaches.diverged, report.converged_ms) =
+        (together.0, together.1.unwrap_or(SAME.as_millis() as u64));
+    Ok(report)
+}
+
+fn own_links(fleet: &Fleet) -> Vec<Name> {
+    let names: BTreeSet<&String> = fleet.forwarders.iter().map(|f| &f.name).collect();
+    fleet.net.names().filter(|(a, b)| names.contains(a) && names.contains(b)).cloned().collect()
+}
+
+/// When each forwarder was first seen to have closed, or opened again, an endpoint: by drain.
+type Tellings = HashMap<(usize, usize), Instant>;
+
+struct Stage<'a> {
+    fleet: &'a mut Fleet,
+    own: Vec<Name>,
+    story: &'a Story,
+    partners: &'a [(&'static str, u32, Partner, usize, &'static str)],
+    drains: Vec<Drain>,
+    begun: Instant,
+}
+
+impl Stage<'_> {
+    /// Has happen what happens, and looks meanwhile who has been told of which drain.
+    fn act(&mut self, told: &mut Tellings, progress: &Progress) -> Result<(), String> {
+        let mut steps = self.story.steps.clone().into_iter().peekable();
+        let mut returns: Vec<(Instant, String)> = Vec::new();
+        while self.begun.elapsed() < self.story.lasts || steps.peek().is_some() || !returns.is_empty() {
+            let part = self.begun.elapsed().as_secs_f64() / self.story.lasts.as_secs_f64();
+            let mut doing = "messages go in".to_string();
+            while let Some(step) = steps.next_if(|s| s.at <= self.begun.elapsed()) {
+                doing = what_is_done(&step);
+                if let Some(back) = self.step(step)? {
+                    returns.push(back);
+                }
+            }
+            progress.at(&doing, 0.05 + 0.65 * part.min(1.0));
+            returns.retain(|(at, partner)| {
+                let due = Instant::now() >= *at;
+                if due {
+                    self.partners.iter().filter(|p| p.0 == partner).for_each(|p| p.2.come_back_cold());
+                }
+                !due
+            });
+            look(self.fleet, &self.drains, told);
+            sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    fn step(&mut self, step: Step) -> Result<Option<(Instant, String)>, String> {
+        let story = &self.story.links;
+        match step.what {
+            What::Cut(groups) => {
+                let side =
+                    |name: &String| groups.iter().position(|g| g.contains(name)).unwrap_or(groups.len() - 1);
+                for name in &self.own {
+                    let apart = side(&name.0) != side(&name.1);
+                    self.fleet.net.change(name, |f| f.cut = apart);
+                }
+            }
+            What::CutOneWay(from, to) => {
+                for who in [&from, &to] {
+                    self.fleet.place(who)?;
+                }
+                self.fleet.net.change(&(from, to), |f| f.cut = true);
+            }
+            What::Heal(_) => {
+                self.own.iter().for_each(|name| self.fleet.net.change(name, |f| *f = story.clone()));
+            }
+            What::Hold(who) | What::Release(who) if self.fleet.place(&who).is_err() => {
+                return Err(format!("there is no forwarder {who}"));
+            }
+            What::Hold(who) => self.hold(&who, true),
+            What::Release(who) => self.hold(&who, false),
+            What::Links(faults) => {
+                self.own.iter().for_each(|name| self.fleet.net.change(name, |f| *f = faults.clone()));
+            }
+            What::Kill(who) => {
+                let place = self.fleet.place(&who)?;
+                self.fleet.forwarders[place].kill();
+            }
+            What::Terminate(who) => {
+                let place = self.fleet.place(&who)?;
+                self.fleet.forwarders[place].terminate();
+            }
+            What::Stop(who) => {
+                let place = self.fleet.place(&who)?;
+                self.fleet.forwarders[place].stop();
+            }
+            What::GoOn(who) => {
+                let place = self.fleet.place(&who)?;
+                self.fleet.forwarders[place].go_on();
+            }
+            What::Start(who) => self.start(&who, FolderAs::Left)?,
+            What::StartEmpty(who) => self.start(&who, FolderAs::Empty)?,
+            What::StartBackup(who) => self.start(&who, FolderAs::Backup)?,
+            What::Backup(who) => {
+                let place = self.fleet.place(&who)?;
+                self.fleet.forwarders[place].backup()?;
+            }
+            What::Order(who, word, name) => self.order(&who, &word, &name)?,
+            What::Silent(partner, span) => {
+                let span = humantime::parse_duration(&span).map_err(|e| e.to_string())?;
+                let known = self.partners.iter().find(|p| p.0 == partner);
+                let known = known.ok_or_else(|| format!("there is no partner {partner}"))?;
+                known.2.conduct(|c| c.silent = true);
+                return Ok(Some((Instant::now() + span, partner)));
+            }
+        }
+        Ok(None)
+    }
+
+    fn hold(&mut self, who: &str, hold: bool) {
+        for name in self.own.iter().filter(|(a, b)| a == who || b == who) {
+            self.fleet.net.change(name, |f| f.hold = hold);
+        }
+    }
+
+    fn start(&mut self, who: &str, folder: FolderAs) -> Result<(), String> {
+        let place = self.fleet.place(who)?;
+        self.fleet.start(place, folder)
+    }
+
+    fn order(&mut self, who: &str, word: &str, name: &str) -> Result<(), String> {
+        let place = self.fleet.place(who)?;
+        let ask = match word {
+            "drain" => Ask::Drain { endpoint: name.into() },
+            "resume" => Ask::Resume { endpoint: Some(name.into()), partner: None },
+            "resume-partner" => Ask::Resume { endpoint: None, partner: Some(name.into()) },
+            "pause" => Ask::Pause { partner: name.into() },
+            _ => Ask::Remove { endpoint: name.into() },
+        };
+        let at = Instant::now();
+        let kept = self.fleet.forwarders[place].ask(ask);
+        let endpoints = |name: &str| -> Vec<String> {
+            let of = self.partners.iter().find(|p| p.0 == name);
+            of.map_or(vec![name.to_string()], |p| (1..=p.3).map(|n| format!("{name}-{n}")).collect())
+        };
+        match word {
+            "drain" | "pause" | "remove" => {
+                kept.map_err(|e| format!("{who} refuses to {word} {name}: {e}"))?;
+                for endpoint in endpoints(name) {
+                    self.drains.push(Drain { endpoint, by: place, at, until: None });
+                }
+            }
+            // Whether a resume is let through depends on who can be reached: a story may ask for one that is not.
+            _ if kept.is_ok() => {
+                for endpoint in endpoints(name) {
+                    let open = self.drains.iter_mut().filter(|d| d.endpoint == endpoint && d.until.is_none());
+                    open.for_each(|d| d.until = Some(at));
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn what_is_done(step: &Step) -> String {
+    match &step.what {
+        What::Cut(groups) => {
+            let sides: Vec<String> = groups.iter().map(|g| g.join(" ")).collect();
+            format!("cut: {}", sides.join(" | "))
+        }
+        What::CutOneWay(from, to) => format!("{from} can't reach {to}"),
+        What::Heal(_) => "the links are sound again".into(),
+        What::Order(who, word, name) => format!("{who} is told to {word} {name}"),
+        What::Kill(who) => format!("{who} is killed"),
+        What::Terminate(who) => format!("{who} is told to end"),
+        What::Stop(who) => format!("{who} is stopped"),
+        What::GoOn(who) => format!("{who} goes on"),
+        What::Start(who) => format!("{who} is started again"),
+        What::StartEmpty(who) => format!("{who} is started on an empty folder"),
+        What::StartBackup(who) => format!("{who} is started on an old copy of its folder"),
+        What::Backup(who) => format!("the folder of {who} is copied"),
+        What::Silent(partner, span) => format!("{partner} is silent for {span}"),
+        What::Hold(who) => format!("what goes to and from {who} is held"),
+        What::Release(who) => format!("what goes to and from {who} is let go"),
+        What::Links(_) => "the links change".into(),
+    }
+}
+
+/// Notes who has been told of which drain by now. Seen a little later than it was: what is judged by it is judged more
+/// mildly by as much.
+fn look(fleet: &Fleet, drains: &[Drain], told: &mut Tellings) {
+    for place in 0..fleet.forwarders.len() {
+        let open = |d: &usize| !told.contains_key(&(*d, place)) && drains[*d].until.is_none();
+        let wanted: Vec<usize> = (0..drains.len()).filter(open).collect();
+        if wanted.is_empty() || fleet.forwarders[place].is_stopped() {
+            continue;
+        }
+        let Some(endpoints) = fleet.forwarders[place].endpoints() else { continue };
+        for drain in wanted {
+            let closed = endpoints.get(&drains[drain].endpoint).is_none_or(|e| e.state != "active");
+            if closed {
+                told.insert((drain, place), Instant::now());
+            }
+        }
+    }
+}
+
+/// A forwarder's picture: its ledger, and what it has made of it.
+type Seen = (String, Vec<(String, String)>);
+
+/// Waits until all have the same picture: how many differ in the end, and how long it took.
+fn converge(
+    fleet: &Fleet, told: &mut Tellings, drains: &[Drain], since: Instant, within: Duration,
+) -> (u64, Option<u64>) {
+    loop {
+        look(fleet, drains, told);
+        let mut pictures: BTreeMap<Seen, u64> = BTreeMap::new();
+        let mut unseen = 0;
+        for forwarder in &fleet.forwarders {
+            if forwarder.peers().is_some_and(|p| p.mode == "displaced") {
+                continue;
+            }
+            match forwarder.endpoints() {
+                Some(endpoints) => {
+                    let states = endpoints.into_values().map(|e| (e.name, e.state)).collect();
+                    let digest = forwarder.site_state().map_or(String::new(), |s| s.digest);
+                    *pictures.entry((digest, states)).or_default() += 1;
+                }
+                None => unseen += 1,
+            }
+        }
+        let most = pictures.values().copied().max().unwrap_or(0);
+        let apart = pictures.values().sum::<u64>() - most + unseen;
+        if apart == 0 {
+            return (0, Some(since.elapsed().as_millis() as u64));
+        }
+        if since.elapsed() > within {
+            return (apart, None);
+        }
+        sleep(LOOK);
+    }
+}
+
+fn wait_for_ends(fleet: &Fleet) {
+    let by = Instant::now() + OVER;
+    while Instant::now() < by {
+        if fleet.forwarders.iter().all(|f| f.status().is_some_and(|s| s.held == 0)) {
+            return;
+        }
+        sleep(LOOK);
+    }
+}
+
+/// Every end that a forwarder keeps: by id, how it ended.
+fn ends(listen: SocketAddr) -> Result<BTreeMap<String, Vec<String>>, String> {
+    let mut ends: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    let mut after = String::new();
+    loop {
+        let path = format!("/v1/ends?peek=1&wait_ms=0{after}");
+        let (status, body) = get(listen, &path).ok_or("the ends could not be read")?;
+        let told: serde_json::Value =
+            serde_json::from_str(&body).map_err(|e| format!("the ends: {status}: {e}"))?;
+        let lines = told["ends"].as_array().cloned().unwrap_or_default();
+        if lines.is_empty() {
+            return Ok(ends);
+        }
+        for line in lines {
+            let word = |name: &str| line[name].as_str().unwrap_or("").to_string();
+            ends.entry(word("id")).or_default().push(word("state"));
+        }
+        after = format!("&after={}", told["cursor"]);
+    }
+}
+
+fn judge_all(
+    fleet: &Fleet, partners: &[(&'static str, u32, Partner, usize, &'static str)], clients: &ClientBooks,
+    drains: &[Drain], told: &Tellings,
+) -> Result<Report, String> {
+    let books: Vec<Books> = partners.iter().map(|p| p.2.books()).collect();
+    let Verdict { effects, twice, out_of_order, fell_over, calls, .. } = judge(&books);
+    let mut by_forwarder = Vec::new();
+    for forwarder in &fleet.forwarders {
+        by_forwarder.push(ends(forwarder.listen)?);
+    }
+    let (mut ended, mut lost, mut with_machine, mut doubled) = (0, Vec::new(), 0, 0);
+    let mut seen: BTreeSet<(&str, usize)> = BTreeSet::new();
+    for Taken { id, by, at, .. } in &clients.taken {
+        if !seen.insert((id, *by)) {
+            continue;
+        }
+        let here = by_forwarder[*by]
+            .get(id)
+            .map_or(0, |ends| ends.iter().filter(|e| *e != "handed_back").count().max(1));
+        let elsewhere = by_forwarder.iter().any(|ends| ends.contains_key(id));
+        match here {
+            // A 202 may have been for what another forwarder holds.
+            0 if elsewhere => ended += 1,
+            0 if fleet.forwarders[*by].replaced.is_some_and(|replaced| replaced > *at) => with_machine += 1,
+            0 => lost.push(id.clone()),
+            1 => ended += 1,
+            _ => doubled += 1,
+        }
+    }
+    let mut after_drain = 0;
+    let mut slowest = Duration::ZERO;
+    for (n, drain) in drains.iter().enumerate() {
+        for (place, forwarder) in fleet.forwarders.iter().enumerate() {
+            let Some(at) = told.get(&(n, place)) else { continue };
+            slowest = slowest.max(at.saturating_duration_since(drain.at));
+            let calls = fleet.net.calls(&forwarder.name, &drain.endpoint);
+            let until = drain.until.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
+            let late = calls.iter().filter(|c| **c > *at + Duration::from_secs(2) && **c < until);
+            after_drain += late.count() as u64;
+        }
+    }
+    let waits_broken = books.iter().map(waits_broken).sum();
+    let breaches = Breaches {
+        lost: lost.len() as u64 + doubled,
+        twice: twice.len() as u64,
+        out_of_order: out_of_order.len() as u64,
+        after_drain,
+        waits_broken,
+        pushed_over: fell_over,
+        diverged: 0,
+    };
+    let examples = lost.into_iter().chain(twice).chain(out_of_order).take(10).collect();
+    Ok(Report {
+        taken: clients.taken.len() as u64,
+        ended,
+        lost_with_machine: with_machine,
+        conflicts: clients.conflicts.len() as u64,
+        refused: clients.refused,
+        unanswered: clients.unanswered,
+        calls,
+        effects,
+        told_ms: slowest.as_millis() as u64,
+        refused_by_partner: books.iter().map(|b| b.waits.len() as u64).sum(),
+        breaches,
+        examples,
+        ..Report::default()
+    })
+}
+
+/// Calls of a forwarder that came in a wait that this forwarder had been told.
+fn waits_broken(books: &Books) -> u64 {
+    use foldtrack_standin::books::WAIT_GRACE;
+    let broken = books.calls.iter().filter(|call| {
+        let own = books.told.iter().filter(|told| told.to == call.by);
+        let mut waits = own.filter(|told| call.at > told.from + WAIT_GRACE && call.at < told.until);
+        waits.next().is_some()
+    });
+    broken.count() as u64
+}
--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -3,6 +3,7 @@
 use crate::fields::{by, each, number, text, whole, within, yes_or_no, Fields};
 use crate::finding::{Finding, Findings};
 use crate::model::*;
+use crate::peers;
 use crate::speech;
 use crate::units::{rate, size, span};
 use ipnet::IpNet;
@@ -13,8 +14,8 @@
 
 const KIB: u64 = 1 << 10;
 const MIB: u64 = 1 << 20;
-const SECOND: u64 = 1_000_000;
-const DAY: u64 = 86_400 * SECOND;
+pub(crate) const SECOND: u64 = 1_000_000;
+pub(crate) const DAY: u64 = 86_400 * SECOND;
 /// Longest name of a class, kind, partner or endpoint.
 const LONGEST_NAME: usize = 64;
 /// First parts of paths that the listener keeps for itself.
@@ -84,6 +85,7 @@
         open_ahead: table.or("open-ahead", true, found, yes_or_no),
     };
     table.done(found);
+    let peers = peers::peers(top.table("peers", found), found);
 
     let mut classes = Vec::new();
     for (name, place, fields) in top.tables("class", found) {
@@ -134,8 +136,20 @@
         found.add(&(0..0), "partner", problem);
     }
 
-    let site =
-        Site { name, listen, state, durability, limits, ends, admission, calls, classes, kinds, partners };
+    let site = Site {
+        name,
+        listen,
+        state,
+        durability,
+        limits,
+        ends,
+        admission,
+        calls,
+        peers,
+        classes,
+        kinds,
+        partners,
+    };
     if site.control_socket().as_os_str().len() > LONGEST_SOCKET_PATH {
         let problem = format!(
             "is too long: the control line's socket in it may have a path of {LONGEST_SOCKET_PATH} bytes at most"
@@ -144,9 +158,10 @@
     }
     if site.journal_room() < LEAST_JOURNAL {
         let problem = format!(
-            "is too little: of limits.disk the ends take {} bytes and the membership log {MEMBERSHIP_ROOM}, and \
+            "is too little: of limits.disk the ends take {} bytes and the membership log {MEMBERSHIP_ROOM}{}, and \
              messages need {LEAST_JOURNAL}",
-            site.ends.size
+            site.ends.size,
+            if site.peers.is_some() { format!(", what forwarders tell each other {PEERS_ROOM}") } else { String::new() }
         );
         found.add(&disk_place, "limits.disk", problem);
     }
@@ -374,7 +389,7 @@
     ))
 }
 
-fn check_name(text: &str, place: &std::ops::Range<usize>, shown: &str, found: &mut Findings<'_>) {
+pub(crate) fn check_name(text: &str, place: &std::ops::Range<usize>, shown: &str, found: &mut Findings<'_>) {
     if let Err(problem) = name(text) {
         found.add(place, shown, format!("is {problem}"));
     }
@@ -391,6 +406,14 @@
     })
 }
 
+/// A path of a file.
+pub(crate) fn path(text: &str) -> Result<PathBuf, String> {
+    match text.trim() {
+        "" => Err("is empty; name a file".into()),
+        _ => Ok(PathBuf::from(text)),
+    }
+}
+
 fn folder(text: &str) -> Result<PathBuf, String> {
     match text.trim() {
         "" => Err("is empty; name a folder, \"/var/lib/foldtrack\" say".into()),
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 mod fields;
 pub mod finding;
 pub mod model;
+mod peers;
 mod speech;
 pub mod template;
 pub mod units;
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -179,6 +179,34 @@
     pub open_ahead: bool,
 }
 
+/// Another forwarder of the site.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where its datagrams go.
+    pub address: SocketAddr,
+}
+
+/// The forwarders of the site, which tell each other what they know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// This one's name.
+    pub name: String,
+    /// Where it takes datagrams.
+    pub listen: SocketAddr,
+    /// The file of the secret that all share.
+    pub secret: PathBuf,
+    /// What has been superseded for so long is forgotten.
+    pub horizon: u64,
+    /// A forwarder that has come up answers `/healthz` after this span even if it has not caught up.
+    pub ready_within: u64,
+    /// Bytes a second that catching up may take.
+    pub catch_up: u64,
+    /// The others, in the order of their names.
+    pub members: Vec<Member>,
+}
+
 /// An installation of its own.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
@@ -198,6 +226,8 @@
     pub admission: Admission,
     /// How calls are made.
     pub calls: Calls,
+    /// The other forwarders; none where it is alone.
+    pub peers: Option<Peers>,
     /// Classes, in the order of their names.
     pub classes: Vec<Class>,
     /// Kinds of partner; the first is that of partners which name none.
@@ -222,7 +252,8 @@
 
     /// Bytes of the disk limit that are left for messages, once ends and membership have their part.
     pub fn journal_room(&self) -> u64 {
-        self.limits.disk.saturating_sub(self.ends.size + MEMBERSHIP_ROOM)
+        let peers = if self.peers.is_some() { PEERS_ROOM } else { 0 };
+        self.limits.disk.saturating_sub(self.ends.size + MEMBERSHIP_ROOM + peers)
     }
 }
 
@@ -230,5 +261,7 @@
 pub const CONTROL_SOCKET: &str = "control.sock";
 /// Bytes that the membership log may take, a compaction of it included.
 pub const MEMBERSHIP_ROOM: u64 = 2 << 20;
+/// Bytes that the store of what forwarders tell each other may take.
+pub const PEERS_ROOM: u64 = 24 << 20;
 /// Endpoints of a site at most: so many fit the membership log's room twice, as a compaction needs it.
 pub const MOST_ENDPOINTS: usize = 2000;
--- a/src/bin/foldtrack/blocks.rs
+++ b/src/bin/foldtrack/blocks.rs
@@ -166,6 +166,18 @@
         }
     }
 
+    /// Something that has happened elsewhere in the process, for those who have subscribed.
+    pub fn tell(&self, kind: &str, text: &str) {
+        let clock = self.places.clock();
+        // Nobody may be listening.
+        let _ = self.events.send(control::Event {
+            at: clock.unix(clock.now()),
+            kind: kind.into(),
+            text: text.into(),
+            ..control::Event::default()
+        });
+    }
+
     /// What happens from now on.
     pub fn events(&self) -> broadcast::Receiver<control::Event> {
         self.events.subscribe()
--- a/src/bin/foldtrack/cli/demo.rs
+++ b/src/bin/foldtrack/cli/demo.rs
@@ -1,12 +1,14 @@
 //! The main job on an embedded default: partners that fail in the usual ways, a forwarder on a fresh site, several
 //! thousand messages of all classes, and each rule checked from the partners' own books.
 
-use super::{say, show, Ended, Failure, FAILED};
+use super::{fleet, say, show, Ended, Failure, FAILED};
 use crate::lock::locked;
 use clap::Args;
 use foldtrack_control::{Ask, Client, Partner as Shown, Status, Told};
 use foldtrack_load::exchange::{post, Exchange};
 use foldtrack_load::forwarder::{Forwarder, Listed};
+use foldtrack_rig::run::Play;
+use foldtrack_rig::story::{Story, What};
 use foldtrack_standin::books::{judge, Books, Fate};
 use foldtrack_standin::{Conduct, Partner};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +30,33 @@
     /// Messages a second
     #[arg(long, default_value_t = 400, value_parser = clap::value_parser!(u64).range(1..=10_000))]
     rate: u64,
+    /// So many forwarders that know of each other, with a cut between them, in place of one among failing partners
+    #[arg(long, value_parser = clap::value_parser!(u64).range(3..=9))]
+    forwarders: Option<u64>,
+}
+
+/// Two sides of a fleet that can't reach each other for a while, and an order on either.
+fn among_forwarders(forwarders: usize, seed: u64) -> Ended {
+    let mut story = Story::told("cut").ok_or_else(|| Failure(FAILED, "there is no story".into()))?;
+    // The story tells of five; of fewer the second side is the smaller one.
+    story.forwarders = 3;
+    for step in &mut story.steps {
+        if let What::Order(who, ..) = &mut step.what {
+            if forwarders < 4 && who == "d" {
+                *who = "c".into();
+            }
+        }
+    }
+    say(&format!(
+        "{forwarders} forwarders that know of each other, and their partners and clients.\n{}.\n\n",
+        story.about
+    ))?;
+    let report = fleet::watched(&Play::of("demo", story, forwarders, seed), false)?;
+    say(&fleet::table(&report))?;
+    if report.is_clean() {
+        return Ok(());
+    }
+    Err(Failure(FAILED, "a rule is broken".into()))
 }
 
 /// Partners: name, share of the messages, what is odd about it.
@@ -68,6 +97,9 @@
 }
 
 pub(super) fn demo(demo: &Demo) -> Ended {
+    if let Some(forwarders) = demo.forwarders {
+        return among_forwarders(forwarders as usize, demo.seed);
+    }
     let told = |what: &str, e: &dyn std::fmt::Display| Failure(FAILED, format!("{what}: {e}"));
     let partners: Vec<(&str, Partner)> = PARTNERS
         .iter()
--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -3,14 +3,17 @@
 
 mod demo;
 mod ends;
+mod fleet;
 mod journal;
 mod keys;
 mod load;
 mod orders;
 mod partner;
+mod peers;
 mod send;
 mod show;
 
+use crate::clock::Clock;
 use crate::serve;
 use clap::{Args, Parser, Subcommand};
 use foldtrack_control::{Ask, Client, Told, Trouble};
@@ -49,6 +52,21 @@
         /// file says; it is read again each time that room is wanted
         #[arg(long, value_name = "FILE")]
         disk_budget: Option<PathBuf>,
+        /// A rehearsal: the wall clock counts as set by so many seconds, forward or back
+        #[arg(
+            long,
+            value_name = "SECONDS",
+            default_value_t = 0.0,
+            allow_negative_numbers = true,
+            hide = true
+        )]
+        clock_offset: f64,
+        /// A rehearsal: every clock of the process runs so many times as fast
+        #[arg(long, value_name = "FACTOR", default_value_t = 1.0, hide = true)]
+        clock_rate: f64,
+        /// Ends when its standard input does: with whoever has started it, however that ends
+        #[arg(long, hide = true)]
+        end_with_input: bool,
     },
     /// Tells everything that is wrong in a site file
     Check {
@@ -180,6 +198,14 @@
         #[command(flatten)]
         asked: Asked,
     },
+    /// Several forwarders as processes, with faults between them
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
+    /// The other forwarders of the site, and how they stand
+    Peers(Asked),
+    /// What was ordered on the site
+    #[command(subcommand)]
+    State(peers::State),
     /// Ends the forwarder; what it holds is taken up at its next start
     Stop(Asked),
 }
@@ -271,8 +297,19 @@
 
 fn run(command: Command) -> Ended {
     match command {
-        Command::Serve { site, disk_budget } => serve::serve(load(&site)?, disk_budget.as_deref())
-            .map_err(|e| Failure(FAILED, format!("foldtrack: {e}"))),
+        Command::Serve { site, disk_budget, clock_offset, clock_rate, end_with_input } => {
+            Clock::rehearse(clock_offset, clock_rate).map_err(|e| Failure(WRONG, e)).and_then(|()| {
+                if end_with_input {
+                    std::thread::spawn(|| {
+                        // Whatever comes is nothing to it; that nothing comes any more is.
+                        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+                        std::process::exit(i32::from(FAILED));
+                    });
+                }
+                let ended = serve::serve(load(&site)?, disk_budget.as_deref());
+                ended.map_err(|e| Failure(FAILED, format!("foldtrack: {e}")))
+            })
+        }
         Command::Check { site } => {
             let read = load(&site)?;
             let endpoints: usize = read.partners.iter().map(|p| p.endpoints.len()).sum();
@@ -306,6 +343,9 @@
         Command::Journal(words) => journal::journal(&words),
         Command::Demo(words) => demo::demo(&words),
         Command::Load(words) => load::load(&words),
+        Command::Fleet(words) => fleet::fleet(&words),
+        Command::Peers(asked) => asked.show(Ask::Peers),
+        Command::State(words) => peers::state(&words),
         Command::Stop(asked) => orders::stop(&asked),
     }
 }
--- a/src/bin/foldtrack/cli/show.rs
+++ b/src/bin/foldtrack/cli/show.rs
@@ -2,7 +2,8 @@
 //! bring into a terminal.
 
 use foldtrack_control::{
-    ClientLine, Clients, Done, Endpoint, Failure, Message, Partner, Queue, Status, Told,
+    ClientLine, Clients, Done, Endpoint, Failure, Message, Partner, Peer, Peers, Queue, SiteState, Statement,
+    Status, Told,
 };
 use std::time::{Duration, UNIX_EPOCH};
 
@@ -16,6 +17,8 @@
         Told::Message(message) => self::message(message),
         Told::Clients(clients) => self::clients(clients),
         Told::Done(done) => self::done(done),
+        Told::Peers(peers) => self::peers(peers),
+        Told::State(state) => self::state(state),
         Told::Changed { status, .. } => self::status(status),
         Told::Event(event) => format!("{}\n", plain(&event.text)),
         Told::Error(error) => format!("{}\n", plain(&error.text)),
@@ -338,7 +341,65 @@
 
 fn done(d: &Done) -> String {
     let what = if d.changed { "done" } else { "it was so already" };
-    format!("{what}; {} calls still out, {} messages held for the partner\n", d.calls, d.held)
+    let copies = match (d.copies, d.others) {
+        (_, 0) => String::new(),
+        (0, others) => format!(
+            "; NONE of the {others} other forwarders has it yet: it is lost with this machine until they are told"
+        ),
+        (copies, others) => format!("; {copies} of {others} other forwarders have it"),
+    };
+    format!("{what}; {} calls still out, {} messages held for the partner{copies}\n", d.calls, d.held)
+}
+
+fn peers(p: &Peers) -> String {
+    let mode = match p.mode.as_str() {
+        "caught_up" => "has what the others have",
+        "catching_up" => "is catching up",
+        "alone" => "has met nobody with the same state yet, and goes on by what it has",
+        "displaced" => "TAKES NO PART: another process runs under its name",
+        other => other,
+    };
+    let majority =
+        if p.there >= p.majority { "a majority" } else { "NO majority: nothing can be resumed or added" };
+    let mut text = format!(
+        "{} (start {}) {mode}; {} of {} forwarders are there, {majority}\n",
+        plain(&p.name),
+        p.start,
+        p.there,
+        p.members
+    );
+    if !p.unkept.is_empty() {
+        text += &format!("what was ordered is not kept on this disk: {}\n", plain(&p.unkept));
+    }
+    let ago = |ms: Option<u64>| ms.map_or("never".into(), |ms| span(ms.max(1)));
+    let row = |o: &Peer| {
+        let start = if o.start == 0 { "-".into() } else { o.start.to_string() };
+        vec![o.name.clone(), o.standing.clone(), span(o.for_ms), start, ago(o.heard_ms), ago(o.same_ms)]
+    };
+    let head = ["name", "standing", "for", "start", "heard", "same state"];
+    text += &table(&head, &p.others.iter().map(row).collect::<Vec<_>>(), "there are no others");
+    text += &format!(
+        "{} datagrams out ({}), {} in ({})",
+        p.sent,
+        bytes(p.sent_bytes),
+        p.received,
+        bytes(p.received_bytes)
+    );
+    for (why, count) in &p.dropped {
+        text += &format!(", {count} dropped as {why}");
+    }
+    text + "\n"
+}
+
+fn state(s: &SiteState) -> String {
+    let row = |s: &Statement| {
+        let says = if s.detail.is_empty() { s.word.clone() } else { format!("{} {}", s.word, s.detail) };
+        let holds = if s.holds { "yes" } else { "no: another stands against it" };
+        vec![s.kind.clone(), s.subject.clone(), says, holds.into(), s.id.clone(), time(s.at)]
+    };
+    let head = ["kind", "name", "says", "holds", "statement", "at (its author's clock)"];
+    let rows = s.statements.iter().map(row).collect::<Vec<_>>();
+    table(&head, &rows, "nothing has been ordered") + &format!("state {} at {}\n", s.digest, plain(&s.name))
 }
 
 #[cfg(test)]
--- a/src/bin/foldtrack/clients.rs
+++ b/src/bin/foldtrack/clients.rs
@@ -22,7 +22,7 @@
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -60,6 +60,8 @@
     pub bodies_of_others: Semaphore,
     /// At a site of its own: what else may be asked.
     pub fronts: Option<Fronts>,
+    /// Where the site has other forwarders: whether this one has caught up with them.
+    pub ready: Option<Arc<AtomicBool>>,
 }
 
 /// Binds the listener. Connections that are set up wait in the kernel's queue until they are accepted. Where it is full the
@@ -253,7 +255,10 @@
     let last = request.headers().contains_key(TRANSFER_ENCODING);
     let response = match (request.method(), request.uri().path()) {
         _ if !sound => plain(StatusCode::BAD_REQUEST),
-        (&Method::GET, "/healthz") => plain(StatusCode::OK),
+        (&Method::GET, "/healthz") => match desk.ready.as_ref().is_none_or(|r| r.load(Ordering::Relaxed)) {
+            true => plain(StatusCode::OK),
+            false => plain(StatusCode::SERVICE_UNAVAILABLE),
+        },
         (&Method::GET, path) if path.starts_with("/v1/") => {
             let Some(fronts) = &desk.fronts else { return closing(plain(StatusCode::NOT_FOUND)) };
             match path.strip_prefix("/v1/messages/") {
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -4,6 +4,7 @@
 use crate::descriptors::{half, Descriptors};
 use crate::list::ServerList;
 use crate::membership::Membership;
+use crate::peers::Setup;
 use crate::places::Places;
 use crate::platform::Agent;
 use crate::speech::Speeches;
@@ -48,6 +49,8 @@
 pub(crate) struct SiteParts {
     pub site: Site,
     pub ends: Store,
+    /// The other forwarders, if it has any.
+    pub peers: Option<Setup>,
 }
 
 #[derive(Deserialize)]
--- a/src/bin/foldtrack/control.rs
+++ b/src/bin/foldtrack/control.rs
@@ -34,6 +34,7 @@
 const PACE: Duration = Duration::from_millis(50);
 /// A reader that does not read for so long goes.
 const SLOW: Duration = Duration::from_secs(10);
+const NO_PEERS: &str = "this forwarder is alone: its site file has no [peers]";
 const USUAL_PUSH: u32 = 1000;
 const LEAST_PUSH: u32 = 200;
 /// Pause between two that are let in.
@@ -339,6 +340,24 @@
                 Err(_) => ending(),
             };
         }
+        Ask::Peers => {
+            let (reply, answer) = oneshot::channel();
+            line.inputs.send(Input::Site(Front::Peers { reply }));
+            return match answer.await {
+                Ok(Some(peers)) => Told::Peers(Box::new(peers)),
+                Ok(None) => error("refused", NO_PEERS),
+                Err(_) => ending(),
+            };
+        }
+        Ask::State => {
+            let (reply, answer) = oneshot::channel();
+            line.inputs.send(Input::Site(Front::State { reply }));
+            return match answer.await {
+                Ok(Some(state)) => Told::State(Box::new(state)),
+                Ok(None) => error("refused", NO_PEERS),
+                Err(_) => ending(),
+            };
+        }
         Ask::Clients { most } => {
             let most = most.unwrap_or(MOST_LINES).min(MOST_LINES) as usize;
             return Told::Clients(Box::new(line.blocks.clients(most)));
@@ -348,7 +367,7 @@
         Ask::Stop => {
             line.inputs.send(Input::Terminate);
             let version = line.picture().await.map_or(0, |p| p.status.membership);
-            return Told::Done(foldtrack_control::Done { changed: true, version, calls: 0, held: 0 });
+            return Told::Done(foldtrack_control::Done { changed: true, version, ..Default::default() });
         }
         Ask::Add { partner, endpoint, address } => {
             let read = foldtrack_site::check::name(&endpoint)
@@ -393,7 +412,7 @@
         None => line.blocks.unblock(&network),
     };
     match changed {
-        Ok(changed) => Told::Done(foldtrack_control::Done { changed, version: 0, calls: 0, held: 0 }),
+        Ok(changed) => Told::Done(foldtrack_control::Done { changed, ..Default::default() }),
         Err(problem) => error("not_kept", &problem),
     }
 }
--- a/src/bin/foldtrack/door.rs
+++ b/src/bin/foldtrack/door.rs
@@ -4,7 +4,7 @@
 use crate::connections::Connection;
 use crate::list::ServerList;
 use crate::message;
-use foldtrack_control::{Done, Endpoint, Error, Failure, Message, Partner, Queue, Status};
+use foldtrack_control::{Done, Endpoint, Error, Failure, Message, Partner, Peers, Queue, SiteState, Status};
 use foldtrack_ends::Fetched;
 use foldtrack_journal::journal::SyncJob;
 use foldtrack_membership::Order;
@@ -85,6 +85,10 @@
     /// Discovery is there from now on.
     Discovery(SocketAddr),
     Terminate,
+    /// A datagram of another forwarder of the site.
+    Datagram(Vec<u8>),
+    /// What was handed to the peers' store under this ticket, and before it, is on disk.
+    PeersKept(u64),
     /// What the disk has confirmed, or failed to.
     Synced(Synced),
     /// Of a site of its own: everything below.
@@ -105,6 +109,10 @@
     Message { id: String, reply: oneshot::Sender<Option<Message>> },
     /// A picture of all.
     Picture { reply: oneshot::Sender<Arc<Picture>> },
+    /// The other forwarders of the site; none where it has no others.
+    Peers { reply: oneshot::Sender<Option<Peers>> },
+    /// What was ordered and holds.
+    State { reply: oneshot::Sender<Option<SiteState>> },
     /// An order. The answer comes when it is on the disk.
     Order { order: Order, reply: oneshot::Sender<Result<Done, Error>> },
 }
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -20,6 +20,7 @@
 mod message;
 mod node;
 mod notices;
+mod peers;
 mod places;
 mod platform;
 mod serve;
--- a/src/bin/foldtrack/membership.rs
+++ b/src/bin/foldtrack/membership.rs
@@ -18,6 +18,9 @@
     /// Carries out an order, at a Unix time in microseconds: the list that follows is [`Membership::known`].
     fn order(&mut self, at: u64, order: &Order) -> Result<Change, Trouble>;
 
+    /// What an order would do, without doing it.
+    fn judge(&self, order: &Order) -> Result<Change, Trouble>;
+
     /// What has been ordered so far, where there are orders.
     fn state(&self) -> Option<&State>;
 
@@ -66,6 +69,10 @@
         self.log.order(at, order)
     }
 
+    fn judge(&self, order: &Order) -> Result<Change, Trouble> {
+        Ok(self.log.judge(order)?)
+    }
+
     fn state(&self) -> Option<&State> {
         Some(self.log.state())
     }
--- a/src/bin/foldtrack/node/appliance.rs
+++ b/src/bin/foldtrack/node/appliance.rs
@@ -9,6 +9,7 @@
 use hatchline::Outcome;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -48,6 +49,8 @@
 
 pub(super) struct Appliance {
     pub name: String,
+    /// The state folder.
+    pub state: PathBuf,
     pub ends: Store,
     /// Sequence number of the last end.
     pub ends_seen: watch::Sender<u64>,
@@ -76,7 +79,7 @@
 
 impl Appliance {
     pub fn new(parts: SiteParts, ends_seen: watch::Sender<u64>, memory: u64) -> Self {
-        let SiteParts { site, ends } = parts;
+        let SiteParts { site, ends, .. } = parts;
         ends_seen.send_replace(ends.last());
         let facts = |p: &foldtrack_site::Partner| PartnerFacts {
             name: p.name.clone(),
@@ -103,6 +106,7 @@
             longest_round: Duration::ZERO,
             journal_most: site.journal_room(),
             name: site.name,
+            state: site.state,
         }
     }
 
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -18,7 +18,7 @@
 const COMMIT_PAUSE: Duration = Duration::from_millis(200);
 
 /// A partner's memory counts as shorter by this, in microseconds: what is sent at its end arrives after it.
-const MEMORY_MARGIN: Micros = 1_000_000;
+pub(super) const MEMORY_MARGIN: Micros = 1_000_000;
 
 impl Node {
     /// Writes what a restart can do without: lacking it, more counts as perhaps run than has.
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -7,6 +7,7 @@
 mod endings;
 mod intake;
 mod orders;
+mod peers;
 mod picture;
 mod restore;
 mod shutdown;
@@ -99,6 +100,8 @@
     discovery: Option<watch::Sender<SocketAddr>>,
     /// What a site of its own has in its place.
     site: Option<Box<Appliance>>,
+    /// The other forwarders of the site, if it has any.
+    peers: Option<Box<peers::Side>>,
     /// What waits for the journal.
     durable: durable::Durable,
     /// A picture for people that is being made.
@@ -136,9 +139,15 @@
 
 /// Restores what the journal holds, then serves until it is told to end.
 pub(crate) async fn run(
-    config: Config, inputs: Inputs, mut receiver: UnboundedReceiver<Input>,
+    mut config: Config, inputs: Inputs, mut receiver: UnboundedReceiver<Input>,
 ) -> io::Result<()> {
     let clock = Clock::new();
+    let others = config.site.as_mut().and_then(|parts| parts.peers.take());
+    let others = match others {
+        Some(setup) => Some(setup.start(config.seed, clock.now() / 1000, &inputs)?),
+        None => None,
+    };
+    let ready = others.as_ref().map(|(_, hands)| hands.ready.clone());
     let (ends_seen, fronts) = fronts(&config);
     let settings = Arc::new(config.settings);
     let max_attempts = settings.settings.max_attempts;
@@ -173,6 +182,7 @@
         membership: config.membership,
         discovery: config.discovery,
         site: site.map(Box::new),
+        peers: others.map(|(peers, hands)| peers::Side::new(peers, hands)),
         durable: durable::Durable::new(config.durable),
         scan: picture::Scan::default(),
         lists: 0,
@@ -199,15 +209,17 @@
     };
     let news = node.membership.watch(&inputs);
     node.list(node.membership.known(), if news { ListKind::Cached } else { ListKind::Full });
-    node.restore_all(restored);
+    node.begin_peers();
     let mut batch = Vec::new();
+    node.join_peers(&mut receiver, &mut batch).await;
+    node.restore_all(restored);
     if news {
         batch.extend(timeout(FIRST_LIST, receiver.recv()).await.ok().flatten());
     }
     let listener = clients::listen(config.listen)?;
     let bodies = Semaphore::new(config.memory_bytes / BODIES_PART);
     let bodies_of_others = Semaphore::new(config.memory_bytes / BODIES_PART / 2);
-    let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies, bodies_of_others, fronts };
+    let desk = Desk { settings, clock, inputs, stage: stage_seen, bodies, bodies_of_others, fronts, ready };
     tokio::spawn(clients::serve(listener, Arc::new(desk), config.places));
     while !node.has_ended() {
         let begun = Instant::now();
@@ -241,6 +253,7 @@
         for input in batch.drain(..) {
             self.take_in(input);
         }
+        self.step_peers();
         self.expire_waiting();
         let now = self.clock.now();
         while let Some((_, token)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
@@ -316,12 +329,15 @@
             }
             Input::Site(ask) => self.asked(ask),
             Input::Synced(synced) => self.synced(synced),
+            Input::Datagram(bytes) => self.datagram(&bytes),
+            Input::PeersKept(ticket) => self.peers_kept(ticket),
             Input::Terminate => {
                 if self.terminated.is_none() {
                     self.terminated = Some(Instant::now());
                     self.stage.send_replace(Stage::Draining);
                     let by = self.clock.now() + END_BY.as_micros() as Micros;
                     self.handle(Event::Stopping { by });
+                    self.leave_peers();
                 }
             }
         }
@@ -377,7 +393,7 @@
             let steps = [at + ACCEPT_ON, at + 2 * ACCEPT_ON, at + END_BY];
             steps.into_iter().find(|s| *s > Instant::now()).unwrap_or(at)
         });
-        let wakes = [timer, reports, stop];
+        let wakes = [timer, reports, stop, self.peers_due()];
         wakes.into_iter().flatten().min().unwrap_or_else(|| Instant::now() + SWEEP)
     }
 }
--- a/src/bin/foldtrack/node/orders.rs
+++ b/src/bin/foldtrack/node/orders.rs
@@ -18,6 +18,7 @@
             Ask::Message { id, reply } => drop(reply.send(self.history(&id))),
             Ask::Picture { reply } => self.picture(reply),
             Ask::Order { order, reply } => self.order(order, reply),
+            Ask::Peers { .. } | Ask::State { .. } => self.asked_of_peers(ask),
         }
     }
 
@@ -41,12 +42,12 @@
                 return drop(reply.send(Err(error("refused", text))));
             }
         }
+        if self.peers.is_some() {
+            return self.order_among_peers(order, reply);
+        }
         let change = match self.membership.order(now, &order) {
             Ok(change) => change,
-            Err(trouble) => {
-                let code = if matches!(trouble, Trouble::Refused(_)) { "refused" } else { "not_kept" };
-                return drop(reply.send(Err(error(code, trouble.to_string()))));
-            }
+            Err(why) => return drop(reply.send(Err(Self::trouble(&why)))),
         };
         if change == Change::Done {
             self.list(self.membership.known(), ListKind::Full);
@@ -63,7 +64,12 @@
         });
     }
 
-    fn note_closed(&mut self, order: &Order) {
+    pub(super) fn trouble(trouble: &Trouble) -> Error {
+        let code = if matches!(trouble, Trouble::Refused(_)) { "refused" } else { "not_kept" };
+        Error { code: code.into(), text: trouble.to_string() }
+    }
+
+    pub(super) fn note_closed(&mut self, order: &Order) {
         let (Some(site), Some(state)) = (&mut self.site, self.membership.state()) else { return };
         site.closed.retain(|name, _| state.endpoints().get(name).is_some_and(|e| !state.is_open(e)));
         let concerns = |name: &String, partner: &String| match order {
@@ -78,7 +84,7 @@
         }
     }
 
-    fn done(&self, order: &Order, change: Change) -> Done {
+    pub(super) fn done(&self, order: &Order, change: Change) -> Done {
         let none = std::collections::BTreeMap::new();
         let state = self.membership.state();
         let endpoints = state.map_or(&none, |s| s.endpoints());
@@ -94,6 +100,12 @@
         };
         let number = partner.and_then(|p| state?.partners().get(p)).map(|p| p.number);
         let held = self.messages.values().filter(|h| Some(h.message.destination) == number).count() as u32;
-        Done { changed: change == Change::Done, version: state.map_or(0, |s| s.version()), calls, held }
+        Done {
+            changed: change == Change::Done,
+            version: state.map_or(0, |s| s.version()),
+            calls,
+            held,
+            ..Done::default()
+        }
     }
 }
--- /dev/null
+++ b/src/bin/foldtrack/node/peers.rs
@@ -0,0 +1,435 @@
+//! What the forwarders of a site tell each other, carried out by the loop: orders go out as facts, and what holds by all
+//! facts is brought about here, by the same orders that an operator gives.
+
+use super::Node;
+use crate::door::{Ask, Input};
+use crate::peers::Hands;
+use foldtrack_control::{Done, Error, Peer, Peers as Shown, SiteState, Statement};
+use foldtrack_membership::{Change, EndpointState, Order, Trouble};
+use foldtrack_peers::fact::{Aspect, Fact, Subject, Word};
+use foldtrack_peers::ledger::Presence;
+use foldtrack_peers::orders::{Refusal, Settled};
+use foldtrack_peers::{Output, Peers};
+use hatchline::ListKind;
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, Instant};
+
+/// Statements in one answer at most.
+const STATEMENTS: usize = 4_000;
+
+/// The other forwarders, as the loop has them.
+pub(super) struct Side {
+    peers: Peers,
+    hands: Hands,
+    orders: HashMap<u64, Pending>,
+    next_order: u64,
+}
+
+/// An order whose operator waits.
+struct Pending {
+    order: Order,
+    change: Change,
+    reply: oneshot::Sender<Result<Done, Error>>,
+}
+
+impl Side {
+    pub fn new(peers: Peers, hands: Hands) -> Box<Side> {
+        Box::new(Side { peers, hands, orders: HashMap::new(), next_order: 1 })
+    }
+}
+
+/// An order as a statement.
+fn stated(order: &Order) -> (Subject, Word) {
+    let endpoint = |name: &String| Subject::Endpoint(name.clone());
+    let partner = |name: &String| Subject::Partner(name.clone());
+    match order {
+        Order::Drain { endpoint: name } => (endpoint(name), Word::Close { for_ms: 0 }),
+        Order::Resume { endpoint: name } => (endpoint(name), Word::Open),
+        Order::PausePartner { partner: name } => (partner(name), Word::Close { for_ms: 0 }),
+        Order::ResumePartner { partner: name } => (partner(name), Word::Open),
+        Order::Remove { endpoint: name } => (endpoint(name), Word::Remove),
+        Order::Add { partner, endpoint: name, address } => {
+            (endpoint(name), Word::Add { partner: partner.clone(), address: *address })
+        }
+    }
+}
+
+fn refused(refusal: &Refusal) -> Error {
+    let code = if matches!(refusal, Refusal::NoMajority { .. }) { "no_majority" } else { "refused" };
+    Error { code: code.into(), text: refusal.to_string() }
+}
+
+impl Node {
+    fn ms(&self) -> u64 {
+        self.clock.now() / 1000
+    }
+
+    /// Before the loop runs: what this forwarder held true alone is stated, and what the ledger says is brought about.
+    pub(super) fn begin_peers(&mut self) {
+        let now = self.ms();
+        let at = self.clock.unix(self.clock.now());
+        let imports = self.own_statements();
+        let Some(side) = &mut self.peers else { return };
+        if side.peers.ledger().is_empty() {
+            for (subject, word) in imports {
+                if let Err(refusal) = side.peers.import(now, at, subject, word) {
+                    side.hands.tell("not_stated", &refusal.to_string());
+                }
+            }
+        }
+        let subjects = side.peers.ledger().subjects();
+        for subject in subjects {
+            self.project(&subject);
+        }
+        self.step_peers();
+    }
+
+    /// Waits until this forwarder has what the others have, or has waited long enough: before that it would call what was
+    /// drained while it was away, and send again what an older copy of its folder holds to be unsent. What comes meanwhile
+    /// is kept for the loop.
+    pub(super) async fn join_peers(
+        &mut self, receiver: &mut UnboundedReceiver<Input>, later: &mut Vec<Input>,
+    ) {
+        while self.peers.as_ref().is_some_and(|s| !s.hands.ready.load(Ordering::Relaxed)) {
+            let due = self.peers_due().unwrap_or_else(Instant::now);
+            tokio::select! {
+                input = receiver.recv() => match input {
+                    Some(
+                        input @ (Input::Datagram(_)
+                        | Input::PeersKept(_)
+                        | Input::Site(Ask::Peers { .. } | Ask::State { .. })),
+                    ) => self.take_in(input),
+                    Some(input) => {
+                        let ends = matches!(input, Input::Terminate);
+                        later.push(input);
+                        if ends {
+                            return;
+                        }
+                    }
+                    None => return,
+                },
+                () = sleep_until(due) => {}
+            }
+            self.step_peers();
+        }
+    }
+
+    /// Whether this forwarder runs on an older copy of its folder.
+    pub(super) fn has_old_state(&self) -> bool {
+        self.peers.as_ref().is_some_and(|s| s.peers.is_old_state())
+    }
+
+    /// What orders have made of this forwarder's list, beside what its site file says.
+    fn own_statements(&self) -> Vec<(Subject, Word)> {
+        let Some(state) = self.membership.state() else { return Vec::new() };
+        let mut statements = Vec::new();
+        for (name, endpoint) in state.endpoints() {
+            let subject = Subject::Endpoint(name.clone());
+            let listed = state.site().endpoints.get(name);
+            if listed.is_none_or(|l| l.address != endpoint.address || l.partner != endpoint.partner) {
+                let word = Word::Add { partner: endpoint.partner.clone(), address: endpoint.address };
+                statements.push((subject.clone(), word));
+            }
+            if endpoint.state == EndpointState::Draining {
+                statements.push((subject, Word::Close { for_ms: 0 }));
+            }
+        }
+        let removed = state.site().endpoints.keys().filter(|name| !state.endpoints().contains_key(*name));
+        statements.extend(removed.map(|name| (Subject::Endpoint(name.clone()), Word::Remove)));
+        let paused = state.partners().iter().filter(|(_, p)| p.paused);
+        statements.extend(paused.map(|(n, _)| (Subject::Partner(n.clone()), Word::Close { for_ms: 0 })));
+        statements
+    }
+
+    /// Takes a datagram in; what follows from it is carried out with the round.
+    pub(super) fn datagram(&mut self, bytes: &[u8]) {
+        let now = self.ms();
+        let Some(side) = &mut self.peers else { return };
+        side.hands.taken_out();
+        side.peers.datagram(now, bytes);
+    }
+
+    pub(super) fn peers_kept(&mut self, ticket: u64) {
+        let now = self.ms();
+        if let Some(side) = &mut self.peers {
+            side.peers.kept(now, ticket);
+        }
+    }
+
+    /// Tells the others that this forwarder goes.
+    pub(super) fn leave_peers(&mut self) {
+        let now = self.ms();
+        if let Some(side) = &mut self.peers {
+            side.peers.leave(now);
+        }
+    }
+
+    /// When something is to be done for the others next.
+    pub(super) fn peers_due(&self) -> Option<Instant> {
+        let side = self.peers.as_ref()?;
+        // One more, since a part of a millisecond is none.
+        Some(self.clock.instant((side.peers.due() + 1) * 1000))
+    }
+
+    /// Does what is due, and carries out what the module says, before this round's decisions are made.
+    pub(super) fn step_peers(&mut self) {
+        let now = self.ms();
+        let Some(side) = &mut self.peers else { return };
+        if side.peers.due() <= now {
+            side.peers.tick(now);
+        }
+        let ready = side.peers.is_ready(now);
+        side.hands.ready.store(ready, Ordering::Relaxed);
+        for output in side.peers.outputs() {
+            let Some(side) = &mut self.peers else { return };
+            match output {
+                Output::Send(to, bytes) => side.hands.send(to, &bytes),
+                Output::Keep(ticket, records) => side.hands.keep(ticket, records),
+                Output::Changed(subject) => self.project(&subject),
+                Output::Aside(fact) => self.lay_aside(&fact),
+                Output::Settled(number, result) => self.settled(number, result),
+                Output::Event(event) => side.hands.tell(event.kind, &event.text),
+            }
+        }
+    }
+
+    /// An order of an operator. What makes things safer holds at once; the opposite once a majority has told what it knows.
+    /// The answer comes when it is kept here and at another, or when that has been waited for long enough.
+    pub(super) fn order_among_peers(&mut self, order: Order, reply: oneshot::Sender<Result<Done, Error>>) {
+        let (now, at) = (self.ms(), self.clock.unix(self.clock.now()));
+        let judged = self.membership.judge(&order);
+        let change = match judged {
+            Ok(change) => change,
+            Err(trouble) => return drop(reply.send(Err(Self::trouble(&trouble)))),
+        };
+        if change == Change::Already {
+            return drop(reply.send(Ok(self.done(&order, change))));
+        }
+        let (subject, word) = stated(&order);
+        let Some(side) = &mut self.peers else { return };
+        let number = side.next_order;
+        side.next_order += 1;
+        if !word.is_safer() {
+            side.peers.open(now, number, at, subject, word);
+            side.orders.insert(number, Pending { order, change, reply });
+            return self.step_peers();
+        }
+        match side.peers.close(now, number, at, subject, word) {
+            Ok(_) => {
+                side.orders.insert(number, Pending { order, change, reply });
+                self.step_peers();
+            }
+            // Here it holds all the same: nothing must go where an operator has said that nothing goes.
+            Err(refusal) => {
+                self.carry_out_order(&order);
+                drop(reply.send(Err(Error {
+                    text: format!("it holds at this forwarder alone: {refusal}"),
+                    ..refused(&refusal)
+                })));
+            }
+        }
+    }
+
+    fn settled(&mut self, number: u64, result: Result<Settled, Refusal>) {
+        let Some(pending) = self.peers.as_mut().and_then(|s| s.orders.remove(&number)) else { return };
+        let told = match result {
+            Ok(Settled { copies, others, .. }) => {
+                let done = self.done(&pending.order, pending.change);
+                Ok(Done { copies: copies as u32, others: others as u32, ..done })
+            }
+            Err(refusal) => Err(refused(&refusal)),
+        };
+        // Whoever asked may have gone.
+        let _ = pending.reply.send(told);
+    }
+
+    /// Keeps what was laid aside in a file, a line each.
+    fn lay_aside(&mut self, fact: &Fact) {
+        let Some(state) = self.site.as_ref().map(|s| s.state.clone()) else { return };
+        let line = serde_json::json!(statement(fact, false)).to_string();
+        tokio::task::spawn_blocking(move || {
+            use std::io::Write;
+            let path = state.join("peers-laid-aside.jsonl");
+            let file = std::fs::OpenOptions::new().create(true).append(true).open(&path);
+            if let Err(e) = file.and_then(|mut file| writeln!(file, "{line}")) {
+                eprintln!("peers: {}: {e}: {line}", path.display());
+            }
+        });
+    }
+
+    /// Brings about here what holds for a subject by all facts.
+    fn project(&mut self, subject: &Subject) {
+        let Some(side) = &self.peers else { return };
+        let verdict = side.peers.verdict(subject);
+        match subject {
+            Subject::Endpoint(name) => {
+                self.project_presence(name, verdict.presence.as_ref());
+                let state = self.membership.state();
+                let Some(now) = state.and_then(|s| s.endpoints().get(name)).map(|e| e.state) else { return };
+                if verdict.closed.is_some() && now == EndpointState::Active {
+                    self.carry_out_order(&Order::Drain { endpoint: name.clone() });
+                } else if verdict.opened && now == EndpointState::Draining {
+                    self.carry_out_order(&Order::Resume { endpoint: name.clone() });
+                }
+            }
+            Subject::Partner(name) => {
+                let state = self.membership.state();
+                let Some(paused) = state.and_then(|s| s.partners().get(name)).map(|p| p.paused) else {
+                    return;
+                };
+                if verdict.closed.is_some() && !paused {
+                    self.carry_out_order(&Order::PausePartner { partner: name.clone() });
+                } else if verdict.opened && paused {
+                    self.carry_out_order(&Order::ResumePartner { partner: name.clone() });
+                }
+            }
+            Subject::Network(_) => {}
+        }
+    }
+
+    fn project_presence(&mut self, name: &str, presence: Option<&Presence>) {
+        let there = self.membership.state().and_then(|s| s.endpoints().get(name));
+        let there = there.map(|e| (e.partner.clone(), e.address));
+        let endpoint = name.to_string();
+        match (presence, there) {
+            (Some(Presence::Gone), Some(_)) => self.carry_out_order(&Order::Remove { endpoint }),
+            (Some(Presence::At { partner, address }), there) => {
+                if there.as_ref() == Some(&(partner.clone(), *address)) {
+                    return;
+                }
+                if self.speeches.shows_secrets(partner, *address) {
+                    let text = format!(
+                        "{name} at {address} is not called from here: {partner} is spoken to without TLS, and its \
+                         secret would go over the wire in plain text"
+                    );
+                    return self.tell("no_effect", &text);
+                }
+                if there.is_some() {
+                    self.carry_out_order(&Order::Remove { endpoint: endpoint.clone() });
+                }
+                self.carry_out_order(&Order::Add { partner: partner.clone(), endpoint, address: *address });
+            }
+            _ => {}
+        }
+    }
+
+    fn tell(&self, kind: &str, text: &str) {
+        if let Some(side) = &self.peers {
+            side.hands.tell(kind, text);
+        }
+    }
+
+    /// Carries an order out in the list that the module goes by, within this round. The ledger keeps it; the log has it so
+    /// that a start without the others goes by it too.
+    fn carry_out_order(&mut self, order: &Order) {
+        let now = self.clock.unix(self.clock.now());
+        match self.membership.order(now, order) {
+            Ok(Change::Done) => {
+                self.list(self.membership.known(), ListKind::Full);
+                self.note_closed(order);
+            }
+            Ok(Change::Already) => {}
+            Err(Trouble::Refused(refusal)) => {
+                // The site files differ: what was said of something that is not there here is kept for when it is.
+                self.tell("no_effect", &format!("an order has no effect here: {refusal}"));
+            }
+            Err(trouble) => self.tell("no_effect", &trouble.to_string()),
+        }
+    }
+
+    /// What people are shown.
+    pub(super) fn asked_of_peers(&mut self, ask: Ask) {
+        match ask {
+            Ask::Peers { reply } => drop(reply.send(self.show_peers())),
+            Ask::State { reply } => drop(reply.send(self.show_state())),
+            _ => {}
+        }
+    }
+
+    fn show_peers(&self) -> Option<Shown> {
+        let side = self.peers.as_ref()?;
+        let (now, p) = (self.ms(), &side.peers);
+        let (there, members) = p.quorum();
+        let ((sent, sent_bytes), (received, received_bytes)) = p.traffic();
+        let mut dropped: std::collections::BTreeMap<String, u64> =
+            p.refused().iter().map(|(why, n)| (why.name().to_string(), *n)).collect();
+        dropped.extend((side.hands.crowded() > 0).then(|| ("crowded".into(), side.hands.crowded())));
+        let mode = match () {
+            () if p.is_displaced() => "displaced",
+            () if p.is_caught_up() => "caught_up",
+            () if p.is_ready(now) => "alone",
+            () => "catching_up",
+        };
+        let others = p.shown(now).into_iter().map(|o| Peer {
+            name: o.name,
+            standing: o.standing.name().into(),
+            for_ms: o.for_ms,
+            start: o.start,
+            heard_ms: o.heard_ms,
+            same_ms: o.same_ms,
+        });
+        Some(Shown {
+            name: p.run().name.clone(),
+            start: p.run().start,
+            mode: mode.into(),
+            there: there as u32,
+            members: members as u32,
+            majority: (members / 2 + 1) as u32,
+            others: others.collect(),
+            sent,
+            sent_bytes,
+            received,
+            received_bytes,
+            dropped,
+            unkept: side.hands.unkept(),
+        })
+    }
+
+    fn show_state(&self) -> Option<SiteState> {
+        let side = self.peers.as_ref()?;
+        let ledger = side.peers.ledger();
+        let digest = ledger.digest().iter().fold(0u64, |sum, n| sum.rotate_left(5) ^ n);
+        let mut statements = Vec::new();
+        for subject in ledger.subjects() {
+            let verdict = ledger.verdict(&subject);
+            for fact in ledger.about(&subject) {
+                let holds = match (fact.word.aspect(), &fact.word) {
+                    (Aspect::Flow, word) => word.is_safer() == verdict.closed.is_some(),
+                    (Aspect::Presence, Word::Add { partner, address }) => {
+                        let at = Presence::At { partner: partner.clone(), address: *address };
+                        verdict.presence == Some(at)
+                    }
+                    (Aspect::Presence, _) => verdict.presence == Some(Presence::Gone),
+                };
+                statements.push(statement(&fact, holds));
+            }
+        }
+        statements.truncate(STATEMENTS);
+        Some(SiteState { name: side.peers.run().name.clone(), digest: format!("{digest:016x}"), statements })
+    }
+}
+
+fn statement(fact: &Fact, holds: bool) -> Statement {
+    let kind = match fact.subject {
+        Subject::Endpoint(_) => "endpoint",
+        Subject::Partner(_) => "partner",
+        Subject::Network(_) => "network",
+    };
+    let detail = match &fact.word {
+        Word::Add { partner, address } => format!("{partner} {address}"),
+        _ => String::new(),
+    };
+    Statement {
+        kind: kind.into(),
+        subject: fact.subject.name().into(),
+        word: fact.word.name().into(),
+        holds,
+        id: fact.dot.to_string(),
+        at: fact.at,
+        over: fact.over.iter().map(ToString::to_string).collect(),
+        detail,
+    }
+}
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -1,12 +1,13 @@
 //! A restart: what the journal holds is taken over.
 
+use super::endings::MEMORY_MARGIN;
 use super::{Held, Node, Taken};
 use crate::message::{order_key, Message};
 use crate::notices::Ending;
 use crate::table::Known;
 use foldtrack_ends::Attempt;
 use foldtrack_journal::{Fate, Notice, Record, Restored, Tried};
-use hatchline::{Event, Outcome};
+use hatchline::{Effect, Event, Outcome};
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
@@ -35,6 +36,7 @@
         }
         let class = self.settings.class_names.iter().position(|n| *n == accepted.class);
         // A clock that was set back must not make it wait for longer than its class allows.
+        let effect = class.map(|c| self.settings.settings.classes[c].effect);
         let deadline = class.map_or(0, |c| self.settings.settings.classes[c].deadline);
         let latest = self.clock.now() + deadline;
         let message = Message {
@@ -47,8 +49,10 @@
             expires: self.clock.since_unix(accepted.expires).min(latest),
             body: accepted.body.into(),
         };
+        let message = self.after_old_state(message, since);
         let (order_key, destination, expires) = (message.order_key(), message.destination, message.expires);
-        let held = Held {
+        let doubtful = self.has_old_state() && effect.is_some_and(|e| e != Effect::Repeatable);
+        let mut held = Held {
             message: Arc::new(message),
             taken: Taken::On,
             since,
@@ -57,10 +61,22 @@
             tries: attempts.len() as u32,
             waiting: None,
         };
+        if doubtful {
+            // What the later life of this folder has sent is not in it.
+            let outcome = foldtrack_ends::Outcome::MayHaveRun;
+            held.history.push(Attempt { at: since, until: 0, endpoint: String::new(), outcome });
+        }
         if let Some(site) = &mut self.site {
             site.hold(&held.message);
         }
         self.messages.insert(number, held);
+        if doubtful
+            && notice.is_none()
+            && !delivered
+            && (effect == Some(Effect::Unsafe) || expires <= self.clock.now())
+        {
+            return self.end(number, Notice::GivenUp);
+        }
         if delivered {
             return self.delivered(number);
         }
@@ -91,6 +107,21 @@
     }
 }
 
+impl Node {
+    /// A keyed message of an older copy of the folder goes out only while its partner remembers it from when it came.
+    fn after_old_state(&self, message: Message, since: u64) -> Message {
+        let class = self.settings.settings.classes.get(message.class);
+        let Some(window) = class.filter(|c| c.effect == Effect::Keyed).map(|c| c.window) else {
+            return message;
+        };
+        if !self.has_old_state() {
+            return message;
+        }
+        let until = self.clock.since_unix(since.saturating_add(window).saturating_sub(MEMORY_MARGIN));
+        Message { expires: message.expires.min(until), ..message }
+    }
+}
+
 /// An attempt of an earlier process, as its journal knows it.
 fn lost(tried: &Tried) -> Attempt {
     use foldtrack_ends::Outcome;
--- /dev/null
+++ b/src/bin/foldtrack/peers.rs
@@ -0,0 +1,187 @@
+//! The network side of what forwarders tell each other: one socket for datagrams, and a thread that keeps records. What
+//! is told and what follows from it is for `foldtrack-peers` to say, and for the loop to carry out.
+
+use crate::blocks::Blocks;
+use crate::door::{Input, Inputs};
+use foldtrack_peers::seal::{Sealer, LONGEST};
+use foldtrack_peers::store::{Opened, Store};
+use foldtrack_peers::{Peers, Record, Restored, Settings};
+use foldtrack_site::Peers as Said;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Datagrams that wait for the loop at most; further ones are dropped, as a network does. Whoever sent them tells again.
+const WAITING: usize = 1024;
+/// Pause after records could not be kept.
+const KEEP_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after the socket could not be read.
+const READ_PAUSE: Duration = Duration::from_millis(10);
+
+/// What is there before the loop runs.
+pub(crate) struct Setup {
+    said: Said,
+    sealer: Sealer,
+    store: Store,
+    restored: Restored,
+    blocks: Arc<Blocks>,
+}
+
+impl Setup {
+    /// Reads the secret and opens the store.
+    ///
+    /// # Errors
+    /// There is no secret that is one.
+    pub fn open(said: &Said, state: &Path, blocks: Arc<Blocks>) -> Result<Setup, String> {
+        let told = |e: &dyn std::fmt::Display| format!("{}: {e}", said.secret.display());
+        let secret = std::fs::read(&said.secret).map_err(|e| told(&e))?;
+        let sealer = Sealer::new(secret.trim_ascii()).map_err(|e| told(&e))?;
+        let Opened { store, restored, told } = Store::open(state);
+        for line in told {
+            eprintln!("peers: {line}");
+        }
+        Ok(Setup { said: said.clone(), sealer, store, restored, blocks })
+    }
+
+    /// Binds the socket and starts what reads it and what keeps records; gives the module, and the hands that it has.
+    ///
+    /// # Errors
+    /// The address can't be had, or there is no thread left.
+    pub fn start(self, seed: u64, now: u64, inputs: &Inputs) -> std::io::Result<(Peers, Hands)> {
+        let said = self.said;
+        let named =
+            |e: std::io::Error| std::io::Error::new(e.kind(), format!("peers.listen {}: {e}", said.listen));
+        let socket = std::net::UdpSocket::bind(said.listen).map_err(named)?;
+        socket.set_nonblocking(true).map_err(named)?;
+        let socket = Arc::new(UdpSocket::from_std(socket).map_err(named)?);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let crowded = Arc::new(AtomicUsize::new(0));
+        tokio::spawn(read(socket.clone(), inputs.clone(), waiting.clone(), crowded.clone()));
+        let (records, to_keep) = mpsc::channel();
+        let unkept = Arc::new(std::sync::Mutex::new(String::new()));
+        let (store, back, problem) = (self.store, inputs.clone(), unkept.clone());
+        std::thread::Builder::new()
+            .name("peers".into())
+            .spawn(move || keep(&store, &to_keep, &back, &problem))?;
+        let settings = Settings {
+            name: said.name.clone(),
+            others: said.members.iter().map(|m| m.name.clone()).collect(),
+            horizon: said.horizon / 1000,
+            catch_up: said.catch_up,
+            ready_within: said.ready_within / 1000,
+            pace: foldtrack_peers::members::Pace::default(),
+            seed,
+        };
+        let peers = Peers::new(now, settings, self.sealer, self.restored);
+        let addresses = said.members.iter().map(|m| m.address).collect();
+        let ready = Arc::new(AtomicBool::new(false));
+        Ok((
+            peers,
+            Hands { socket, addresses, records, waiting, crowded, unkept, ready, blocks: self.blocks },
+        ))
+    }
+}
+
+/// What the loop needs to carry out what the module says.
+pub(crate) struct Hands {
+    socket: Arc<UdpSocket>,
+    addresses: Vec<SocketAddr>,
+    records: mpsc::Sender<(u64, Vec<Record>)>,
+    waiting: Arc<AtomicUsize>,
+    crowded: Arc<AtomicUsize>,
+    unkept: Arc<std::sync::Mutex<String>>,
+    /// This forwarder is caught up, or has waited long enough: what `/healthz` tells.
+    pub ready: Arc<AtomicBool>,
+    blocks: Arc<Blocks>,
+}
+
+impl Hands {
+    /// Sends a datagram; one that the system has no room for is lost like any other.
+    pub fn send(&self, to: usize, bytes: &[u8]) {
+        let _ = self.socket.try_send_to(bytes, self.addresses[to]);
+    }
+
+    /// Has records kept; [`Input::PeersKept`] tells when they are.
+    pub fn keep(&self, ticket: u64, records: Vec<Record>) {
+        // The thread ends only with the process.
+        let _ = self.records.send((ticket, records));
+    }
+
+    /// A datagram has been taken out of the queue.
+    pub fn taken_out(&self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Datagrams that were dropped since the loop was too far behind.
+    pub fn crowded(&self) -> u64 {
+        self.crowded.load(Ordering::Relaxed) as u64
+    }
+
+    /// Why records are not kept, if they are not.
+    pub fn unkept(&self) -> String {
+        crate::lock::locked(&self.unkept).clone()
+    }
+
+    /// Tells operators.
+    pub fn tell(&self, kind: &str, text: &str) {
+        eprintln!("peers: {kind}: {text}");
+        self.blocks.tell(kind, text);
+    }
+}
+
+/// Reads datagrams for as long as the process runs.
+async fn read(socket: Arc<UdpSocket>, inputs: Inputs, waiting: Arc<AtomicUsize>, crowded: Arc<AtomicUsize>) {
+    // One byte more than any: what fills it was longer, and is refused as that.
+    let mut bytes = vec![0; LONGEST + 1];
+    loop {
+        match socket.recv_from(&mut bytes).await {
+            Ok((length, _)) => {
+                if waiting.fetch_add(1, Ordering::Relaxed) >= WAITING {
+                    waiting.fetch_sub(1, Ordering::Relaxed);
+                    crowded.fetch_add(1, Ordering::Relaxed);
+                    // The loop is on this thread, and has its turn now.
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+                inputs.send(Input::Datagram(bytes[..length].to_vec()));
+            }
+            Err(_) => sleep(READ_PAUSE).await,
+        }
+    }
+}
+
+/// Keeps records, in their order, for as long as there is a loop. What can't be kept is tried again, and nothing behind it
+/// is acknowledged meanwhile.
+fn keep(
+    store: &Store, records: &mpsc::Receiver<(u64, Vec<Record>)>, inputs: &Inputs,
+    problem: &std::sync::Mutex<String>,
+) {
+    while let Ok((mut ticket, mut batch)) = records.recv() {
+        // What has gathered goes in one stroke.
+        while let Ok((later, more)) = records.try_recv() {
+            ticket = later;
+            batch.extend(more);
+        }
+        while let Err(error) = store.keep(&batch) {
+            let told = error.to_string();
+            let mut last = crate::lock::locked(problem);
+            if *last != told {
+                eprintln!("peers: what was ordered is not kept yet: {told}");
+                *last = told;
+            }
+            drop(last);
+            std::thread::sleep(KEEP_PAUSE);
+        }
+        let mut last = crate::lock::locked(problem);
+        if !last.is_empty() {
+            eprintln!("peers: what was ordered is kept again");
+            last.clear();
+        }
+        drop(last);
+        inputs.send(Input::PeersKept(ticket));
+    }
+}
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -74,6 +74,10 @@
         Err(Trouble::Unwritten(io::Error::other("the list is the platform's")))
     }
 
+    fn judge(&self, _: &Order) -> Result<Change, Trouble> {
+        Err(Trouble::Unwritten(io::Error::other("the list is the platform's")))
+    }
+
     fn state(&self) -> Option<&State> {
         None
     }
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -7,6 +7,7 @@
 use crate::descriptors::{allowed, Descriptors, OTHER_SOCKETS};
 use crate::door;
 use crate::membership::SiteMembership;
+use crate::peers::Setup;
 use crate::places::Places;
 use crate::{logs, runtime, serve_until_told, speech};
 use foldtrack_admission::descriptors::{self, Kept};
@@ -23,7 +24,6 @@
 use std::io::{Read, Write};
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::SignalKind;
 
 /// What is in the state folder is its owner's alone.
@@ -40,7 +40,7 @@
         .create(&site.state)
         .map_err(|e| format!("{}: {e}", site.state.display()))?;
     let _lock = lock(&site.state)?;
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let unix = Clock::new().unix_now();
     let mut log = Log::open(&site.state, MOST_ENDPOINTS).map_err(|e| e.to_string())?;
     for told in log.site_says(unix, &site_list(&site)).map_err(|e| e.to_string())? {
         eprintln!("membership: {told}");
@@ -63,6 +63,10 @@
     let ledger = Descriptors::new(limit, places, kept.calls);
     let places = Places::new(admission(&site, places), Clock::new(), ledger.clone());
     let blocks = Blocks::open(&site.state, places.clone(), site.listen.port())?;
+    let peers = match &site.peers {
+        Some(said) => Some(Setup::open(said, &site.state, blocks.clone())?),
+        None => None,
+    };
     let socket = control::bind(&site.control_socket())?;
     let (speeches, keeper) = speech::of_site(&site)?;
     let _logs = (!keeper.is_idle()).then(logs::start);
@@ -82,7 +86,7 @@
         membership: Box::new(SiteMembership::new(log, site.clone())),
         discovery: None,
         durable: site.durability == Durability::Machine,
-        site: Some(SiteParts { site, ends }),
+        site: Some(SiteParts { site, ends, peers }),
     };
     let ends = [SignalKind::terminate(), SignalKind::interrupt()];
     runtime()?.block_on(async {
--- /dev/null
+++ b/tests/peers/main.rs
@@ -0,0 +1,302 @@
+//! Forwarders of a site as processes that know of each other, with faults between them.
+//!
+//! `FOLDTRACK_SEEDS=N cargo test --release --test peers` plays each story with N seeds, `FOLDTRACK_KILLS=N` kills so often.
+
+use foldtrack_control::{Ask, Told};
+use foldtrack_rig::fleet::{Fleet, FolderAs, Listed, Plan};
+use foldtrack_rig::run::{play, Play, Progress};
+use foldtrack_rig::story::{Story, What};
+use foldtrack_standin::{eventually, Conduct, Partner};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_foldtrack");
+
+fn number(name: &str, usual: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(usual)
+}
+
+/// Plays a story, and checks every rule from the books.
+fn keeps_the_rules(name: &str) {
+    for seed in 1..=number("FOLDTRACK_SEEDS", 1) {
+        let story = Story::told(name).unwrap();
+        let told = Play::of(name, story, 5, seed);
+        let report = play(Path::new(PROGRAM), &told, &Progress::default()).unwrap();
+        assert!(report.is_clean(), "seed {seed}: {report:?}");
+    }
+}
+
+macro_rules! stories {
+    ($($name:ident: $story:literal,)*) => {$(
+        #[test]
+        fn $name() {
+            keeps_the_rules($story);
+        }
+    )*};
+}
+
+stories! {
+    nothing_fails: "calm",
+    datagrams_are_lost_late_and_spoilt: "loss",
+    two_of_five_are_cut_off_and_come_back: "cut",
+    one_is_not_heard_by_some: "one-way",
+    one_comes_and_goes: "flap",
+    one_is_away_for_a_while: "rejoin",
+    one_loses_its_folder: "restart-empty",
+    one_comes_back_on_an_old_copy_of_its_folder: "restored-backup",
+    clocks_are_hours_apart_and_run_wrong: "clocks",
+}
+
+/// A fleet with one partner of two endpoints.
+fn fleet(forwarders: usize, peers: bool, lines: &str) -> (Fleet, Partner) {
+    let partner = Partner::start(1, Conduct::default());
+    let endpoints = vec![("p-1".to_string(), partner.address()), ("p-2".to_string(), partner.address())];
+    let plan = Plan {
+        forwarders,
+        partners: vec![Listed { name: "p".into(), endpoints, lines: String::new() }],
+        top: "durability = \"process\"\n[class.payment]\neffect = \"once\"\ndeadline = \"8s\"\n[class.notice]\n\
+              effect = \"repeatable\"\ndeadline = \"8s\"\n"
+            .into(),
+        peers,
+        peers_lines: lines.into(),
+        clocks: BTreeMap::new(),
+    };
+    (Fleet::prepare(Path::new(PROGRAM), &plan, 1).unwrap(), partner)
+}
+
+fn started(forwarders: usize) -> (Fleet, Partner) {
+    let (mut fleet, partner) = fleet(forwarders, true, "");
+    fleet.start_all().unwrap();
+    (fleet, partner)
+}
+
+fn drain(name: &str) -> Ask {
+    Ask::Drain { endpoint: name.into() }
+}
+
+fn resume(name: &str) -> Ask {
+    Ask::Resume { endpoint: Some(name.into()), partner: None }
+}
+
+fn state_of(fleet: &Fleet, place: usize, endpoint: &str) -> String {
+    let endpoints = fleet.forwarders[place].endpoints().unwrap_or_default();
+    endpoints.get(endpoint).map_or(String::new(), |e| e.state.clone())
+}
+
+/// Drained at a forwarder that is killed up to 50 ms after it has acknowledged: the others keep it.
+#[test]
+fn a_drain_outlives_the_forwarder_that_acknowledged_it() {
+    let (mut fleet, _partner) = started(3);
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut slowest = Duration::ZERO;
+    for round in 0..number("FOLDTRACK_KILLS", 12) as usize {
+        let told = round % 3;
+        let acknowledged = fleet.forwarders[told].ask(drain("p-1"));
+        let Ok(Told::Done(done)) = acknowledged else { panic!("round {round}: {acknowledged:?}") };
+        assert!(done.copies >= 1 && done.others == 2, "round {round}: {done:?}");
+        std::thread::sleep(Duration::from_micros(random.u64(0..50_000)));
+        fleet.forwarders[told].kill();
+        let killed = Instant::now();
+        for other in (0..3).filter(|n| *n != told) {
+            eventually("the others keep the drain", || state_of(&fleet, other, "p-1") == "draining");
+        }
+        slowest = slowest.max(killed.elapsed());
+        fleet.start(told, FolderAs::Left).unwrap();
+        assert_eq!(
+            state_of(&fleet, told, "p-1"),
+            "draining",
+            "round {round}: it came back without its own order"
+        );
+        let (told, other) = ((told + 1) % 3, told);
+        eventually("it is resumed", || fleet.forwarders[told].ask(resume("p-1")).is_ok());
+        eventually("all hear of it", || state_of(&fleet, other, "p-1") == "active");
+    }
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+}
+
+/// Drained at one side of a cut, resumed at the other, healed: the same verdict on all, and the operator sees both.
+#[test]
+fn orders_of_both_sides_of_a_cut_are_shown_and_the_safer_holds() {
+    let (fleet, _partner) = started(3);
+    fleet.forwarders[0].ask(drain("p-1")).unwrap();
+    eventually("all have it", || (0..3).all(|n| state_of(&fleet, n, "p-1") == "draining"));
+    let links: Vec<_> =
+        fleet.net.names().filter(|(from, to)| from == "a" && to.len() == 1 || to == "a").cloned().collect();
+    let cut = |cut: bool| links.iter().for_each(|name| fleet.net.change(name, |f| f.cut = cut));
+    cut(true);
+    let refused = fleet.forwarders[0].ask(resume("p-1")).unwrap_err();
+    assert!(refused.contains("majority") && refused.contains("1 of the 2"), "{refused}");
+    // Drained anew where the others can't hear it: the order is taken, and says that nobody else has it.
+    fleet.forwarders[0].ask(Ask::Pause { partner: "p".into() }).unwrap();
+    let Told::Done(alone) = fleet.forwarders[0].ask(drain("p-2")).unwrap() else { panic!() };
+    assert_eq!((alone.copies, alone.others), (0, 2));
+    fleet.forwarders[1].ask(resume("p-1")).unwrap();
+    assert_eq!(
+        (state_of(&fleet, 0, "p-1").as_str(), state_of(&fleet, 2, "p-1").as_str()),
+        ("draining", "active")
+    );
+    fleet.forwarders[2].ask(drain("p-2")).unwrap();
+    fleet.forwarders[2].ask(resume("p-2")).unwrap();
+    assert_eq!(state_of(&fleet, 1, "p-2"), "active");
+    cut(false);
+    let digest = |n: usize| fleet.forwarders[n].site_state().map(|s| s.digest);
+    eventually("all have the same", || {
+        digest(0) == digest(1) && digest(1) == digest(2) && digest(0).is_some()
+    });
+    eventually("the drain of the cut one holds", || (0..3).all(|n| state_of(&fleet, n, "p-2") == "draining"));
+    eventually("its pause does, too", || (0..3).all(|n| state_of(&fleet, n, "p-1") == "paused"));
+    for n in 0..3 {
+        let state = fleet.forwarders[n].site_state().unwrap();
+        let of = |name: &str| state.statements.iter().filter(|s| s.subject == name).collect::<Vec<_>>();
+        assert_eq!(of("p-2").len(), 2, "{state:?}");
+        assert!(
+            of("p-2").iter().any(|s| s.holds && s.word == "close" && s.id.starts_with("a/")),
+            "{state:?}"
+        );
+        assert!(
+            of("p-2").iter().any(|s| !s.holds && s.word == "open" && s.id.starts_with("c/")),
+            "{state:?}"
+        );
+    }
+    let files: Vec<_> = fleet.forwarders.iter().map(|f| f.site()).collect();
+    let diff = Command::new(PROGRAM).args(["state", "diff"]).args(&files[..2]).output().unwrap();
+    assert!(diff.status.success(), "{diff:?}");
+}
+
+/// A forwarder that comes back on an old copy of its folder says so, takes a number that nobody had, and is told what the
+/// copy lacks before it serves.
+#[test]
+fn an_old_copy_of_a_folder_is_noticed_and_named() {
+    let (mut fleet, _partner) = started(3);
+    fleet.forwarders[2].backup().unwrap();
+    fleet.forwarders[2].kill();
+    fleet.start(2, FolderAs::Left).unwrap();
+    fleet.forwarders[2].ask(drain("p-1")).unwrap();
+    fleet.forwarders[2].kill();
+    fleet.start(2, FolderAs::Backup).unwrap();
+    assert_eq!(state_of(&fleet, 2, "p-1"), "draining");
+    let log = fleet.forwarders[2].whole_log();
+    assert!(log.contains("old_state: the state folder is older"), "{log}");
+    let starts = fleet.forwarders[0].peers().unwrap().others.iter().find(|o| o.name == "c").unwrap().start;
+    assert_eq!(starts, 3);
+    fleet.forwarders[2].ask(drain("p-2")).unwrap();
+    eventually("its new orders count", || state_of(&fleet, 0, "p-2") == "draining");
+}
+
+/// A store that is torn, of another kind, or full of noise keeps nobody from starting; what it had comes from the others.
+#[test]
+fn a_spoilt_store_is_set_aside_and_filled_again_by_the_others() {
+    let (mut fleet, _partner) = started(3);
+    fleet.forwarders[0].ask(drain("p-1")).unwrap();
+    for noise in [&b"not a store"[..], &[0x5a; 100_000], b""] {
+        fleet.forwarders[1].kill();
+        let state = fleet.folder().join("b/state");
+        fs::write(state.join("peers.redb"), noise).unwrap();
+        fs::remove_file(state.join("membership")).unwrap();
+        fleet.start(1, FolderAs::Left).unwrap();
+        assert_eq!(state_of(&fleet, 1, "p-1"), "draining");
+    }
+    assert!(fs::read_dir(fleet.folder().join("b/state"))
+        .unwrap()
+        .flatten()
+        .any(|e| { e.file_name().to_string_lossy().starts_with("peers.redb.damaged-") }));
+    assert!(fleet.forwarders[1].whole_log().contains("stands aside"));
+}
+
+/// One that finds nobody says for a while that it is not ready, and then goes on by what it has.
+#[test]
+fn one_that_finds_nobody_waits_its_span_and_goes_on_alone() {
+    let (mut fleet, _partner) = fleet(3, true, "ready-within = \"2s\"");
+    let before = Instant::now();
+    fleet.start(0, FolderAs::Left).unwrap();
+    // The listener is there once it is ready.
+    assert!(before.elapsed() >= Duration::from_secs(2), "{:?}", before.elapsed());
+    eventually("it serves", || fleet.forwarders[0].is_healthy());
+    let seen = fleet.forwarders[0].peers().unwrap();
+    assert_eq!((seen.mode.as_str(), seen.there, seen.members, seen.majority), ("alone", 1, 3, 2));
+    fleet.forwarders[0].ask(drain("p-1")).unwrap();
+    fleet.start(1, FolderAs::Left).unwrap();
+    assert_eq!(state_of(&fleet, 1, "p-1"), "draining", "it served before it had caught up");
+}
+
+/// What an operator has ordered before there were peers is known to them from the first start with them on.
+#[test]
+fn orders_from_before_there_were_peers_are_told_to_them() {
+    let (mut fleet, _partner) = fleet(3, true, "");
+    let site = fleet.forwarders[0].site();
+    let whole = fs::read_to_string(&site).unwrap();
+    fs::write(&site, whole.split("[peers]").next().unwrap()).unwrap();
+    fleet.start(0, FolderAs::Left).unwrap();
+    fleet.forwarders[0].ask(drain("p-1")).unwrap();
+    fleet.forwarders[0].kill();
+    fs::write(&site, whole).unwrap();
+    fleet.start_all().unwrap();
+    eventually("all have it", || (0..3).all(|n| state_of(&fleet, n, "p-1") == "draining"));
+}
+
+/// Without `[peers]` there is no socket, no thread and no file of it.
+#[test]
+fn without_peers_there_is_nothing_of_them() {
+    let (mut fleet, _partner) = fleet(1, false, "");
+    fleet.start_all().unwrap();
+    let forwarder = &fleet.forwarders[0];
+    let pid = forwarder.pid().unwrap();
+    let threads: Vec<String> = fs::read_dir(format!("/proc/{pid}/task"))
+        .unwrap()
+        .flatten()
+        .map(|task| fs::read_to_string(task.path().join("comm")).unwrap_or_default().trim().to_string())
+        .collect();
+    assert!(!threads.iter().any(|name| name == "peers"), "{threads:?}");
+    // The rig's own flag has a thread that reads standard input.
+    assert!(threads.len() <= 2, "{threads:?}");
+    let sockets: Vec<String> = fs::read_dir(format!("/proc/{pid}/fd"))
+        .unwrap()
+        .flatten()
+        .filter_map(|fd| fs::read_link(fd.path()).ok())
+        .filter_map(|to| to.to_str()?.strip_prefix("socket:[")?.strip_suffix(']').map(String::from))
+        .collect();
+    let udp = fs::read_to_string(format!("/proc/{pid}/net/udp")).unwrap();
+    let own =
+        udp.lines().filter(|line| sockets.iter().any(|inode| line.split_whitespace().nth(9) == Some(inode)));
+    assert_eq!(own.count(), 0);
+    let state = fleet.folder().join("a/state");
+    assert!(!state.join("peers.redb").exists());
+    let refused = forwarder.ask(Ask::Peers).unwrap_err();
+    assert!(refused.contains("no [peers]"), "{refused}");
+}
+
+#[test]
+fn what_is_wrong_with_the_table_is_told_with_its_place() {
+    let (fleet, _partner) = fleet(3, true, "horizon = \"1s\"\nsekret = 7");
+    let site = fleet.forwarders[0].site();
+    let check = Command::new(PROGRAM).arg("check").arg(&site).output().unwrap();
+    let told = String::from_utf8_lossy(&check.stderr).into_owned();
+    assert_eq!(check.status.code(), Some(2));
+    assert!(told.contains("peers.horizon: is out of its range") && told.contains("peers.sekret"), "{told}");
+    let text = fs::read_to_string(&site).unwrap().replace("horizon = \"1s\"\nsekret = 7", "");
+    fs::write(&site, text.replace("[peers.member.b]", "[peers.member.a]")).unwrap();
+    let check = Command::new(PROGRAM).arg("check").arg(&site).output().unwrap();
+    let told = String::from_utf8_lossy(&check.stderr).into_owned();
+    assert!(told.contains("this forwarder's own name"), "{told}");
+    // A secret that is none is a refusal to start, with the file named.
+    fs::write(&site, text).unwrap();
+    fs::write(fleet.folder().join("secret"), "short").unwrap();
+    let serve = Command::new(PROGRAM).args(["serve", "--site"]).arg(&site).output().unwrap();
+    let told = String::from_utf8_lossy(&serve.stderr).into_owned();
+    assert!(!serve.status.success() && told.contains("secret") && told.contains("16 at least"), "{told}");
+}
+
+/// A play that breaks a rule says so: of forwarders that do not know of each other only one has the drain.
+#[test]
+fn the_rig_finds_what_is_broken() {
+    let mut story = Story::told("calm").unwrap();
+    story.lasts = Duration::from_secs(2);
+    story.steps.retain(|s| matches!(&s.what, What::Order(_, word, _) if word == "drain"));
+    let mut alone = Play::of("calm", story, 5, 1);
+    alone.peers = false;
+    let report = play(Path::new(PROGRAM), &alone, &Progress::default()).unwrap();
+    assert!(report.breaches.diverged == 1 && !report.is_clean(), "{report:?}");
+}
