Claim the id of a message with a majority before it is taken on, and decide that without I/O

Need: a client whose forwarder died, or whose answer got lost, hands a payment in elsewhere under its id, and nobody there knows it.

The change: crates/peers/src/claims.rs. Each member lets the first holder of an id in; a majority makes it the holder; what was let in is written (`ClaimLog`) before the answer leaves, and a member that may have lost it does not count.

Found by the proptest of several claimers under loss, cuts and kills: news that a claim was given back freed a later claim of the same holder (two granted, [0, 1]); claims have turns now. It also claimed again what it held, which a forwarder does not do; that was the test's.

--- /dev/null
+++ b/crates/peers/src/claims.rs
@@ -0,0 +1,582 @@
+//! Which forwarder holds or ended which message, so that one that is handed in again elsewhere under its id is not sent a
+//! second time while the first may be alive.
+//!
+//! A message that must not be repeated at will is claimed before it is taken on: a majority of the members must have no other
+//! holder for its id. Two majorities share a member, and each member lets the first claim stand: of two forwarders one is
+//! granted at most. What a member has granted outlives its process (the owner keeps the records before answers leave);
+//! a member that has lost what it granted says that it is not sure, and does not count.
+//!
+//! An id is claimed for a holder: a name and the *memory* that it has of its messages. Whoever comes back on an empty folder,
+//! or on an old copy of it, has another memory, and is another holder.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// An id, as it is told: the first 16 bytes of its SHA-256.
+pub type Key = u128;
+
+/// The key of an id.
+pub fn key(id: &str) -> Key {
+    let hash = Sha256::digest(id.as_bytes());
+    u128::from_le_bytes(std::array::from_fn(|n| hash[n]))
+}
+
+/// How long a claim is asked for, from its beginning and again from when it is taken over, in milliseconds. Clients wait
+/// 400 ms for an answer.
+pub const WITHIN: u64 = 250;
+/// Who has not answered is asked again after this span.
+const AGAIN: u64 = 40;
+/// A claim whose client was told to come again goes on for so long: what was answered meanwhile counts when he does.
+const KEPT_ON: u64 = 4_000;
+/// And who has not answered it is asked again after this span.
+const AGAIN_KEPT_ON: u64 = 300;
+/// Ids are remembered for so long, in milliseconds; and so many at most, the oldest going first.
+pub const REMEMBERED: u64 = 600_000;
+/// See [`REMEMBERED`].
+pub const MOST: usize = 100_000;
+/// A partner's memory of a key counts as shorter by this.
+const MARGIN: u64 = 1_000;
+/// What a client is told to wait where it is not known yet who holds its message, or nobody can say.
+const SOON: u64 = 300;
+const LATER: u64 = 1_000;
+/// An end is told again to whoever has not acknowledged it, so often and each time twice as late.
+const TELLINGS: u32 = 8;
+/// Items in one message on the wire.
+pub const ITEMS: usize = 24;
+
+/// Who holds a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Its name.
+    pub name: String,
+    /// Which memory of its messages it has.
+    pub memory: u64,
+}
+
+/// What a holder tells of a message of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// It was delivered.
+    Delivered,
+    /// It ended otherwise, and must not be handed in again.
+    Over,
+    /// It was handed back, and may be handed in anywhere again for so long; 0 without bound.
+    Back(u64),
+}
+
+/// A claim on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Of which id.
+    pub key: Key,
+    /// Grows with each claim of its holder: what is late does not count against what came after it.
+    pub turn: u64,
+    /// From this holder, who can't be reached, and whose message may be repeated.
+    pub over: Option<Holder>,
+}
+
+/// What a member answers to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// No other holder is known here, and none will be let in before this one. It was handed back, and may run only for so
+    /// long; 0 without bound.
+    Yours(u64),
+    /// Another holds it, since so many milliseconds.
+    Held(Holder, u64),
+    /// It has ended: true if it must not be handed in again.
+    Ended(bool),
+    /// This member has lost what it granted before.
+    Unsure,
+}
+
+/// What a holder answers when it is asked for a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Status {
+    /// It holds it.
+    Held,
+    /// It has ended so.
+    Ended(Word),
+    /// It has refused it, or never had it.
+    Unknown,
+}
+
+/// What a repeat of a message does, and so what its claim needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It must never take effect twice. Its deadline, in milliseconds: no longer is it out anywhere.
+    Once(u64),
+    /// Partners drop repeats for so long, in milliseconds.
+    Keyed(u64),
+}
+
+/// What has come of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be taken on here, and go out for so long; 0 without bound.
+    Granted(u64),
+    /// Another has taken it on, and has it.
+    Held,
+    /// It was delivered.
+    Delivered,
+    /// It has ended otherwise, or nobody will ever know.
+    Over,
+    /// Come again after so many milliseconds.
+    Later(u64),
+}
+
+/// What a member has granted, as it is kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kept {
+    /// A claim.
+    Claimed(Key, Holder, u64),
+    /// An end that its holder has told.
+    Ended(Key, Word),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    holder: Holder,
+    turn: u64,
+    since: u64,
+    end: Option<(Word, u64)>,
+}
+
+#[derive(Debug)]
+struct Asked {
+    effect: Effect,
+    turn: u64,
+    yours: BTreeSet<usize>,
+    answered: BTreeSet<usize>,
+    /// The least span that was answered for it to run.
+    left: u64,
+    held: Option<(Holder, u64)>,
+    over: Option<Holder>,
+    again: u64,
+    by: u64,
+    /// Its client was told to come again.
+    kept_on: bool,
+}
+
+#[derive(Debug)]
+struct Telling {
+    word: Word,
+    turn: u64,
+    missing: BTreeSet<usize>,
+    next: u64,
+    tries: u32,
+}
+
+/// Ids as one member knows them.
+#[derive(Debug)]
+pub struct Claims {
+    own: Holder,
+    /// The turn of the last claim.
+    turn: u64,
+    others: usize,
+    known: HashMap<Key, Entry>,
+    ages: BTreeSet<(u64, Key)>,
+    /// From when on what was granted is known in full.
+    sure_from: u64,
+    asked: BTreeMap<Key, Asked>,
+    tellings: BTreeMap<Key, Telling>,
+    done: Vec<(Key, Verdict)>,
+    records: Vec<Kept>,
+}
+
+impl Claims {
+    /// A member beside so many others. Where it may have lost what it granted (`sure` is false) it does not count until what it
+    /// lost is forgotten everywhere.
+    pub fn new(now: u64, own: Holder, start: u64, others: usize, sure: bool, kept: Vec<Kept>) -> Claims {
+        let mut claims = Claims {
+            own,
+            turn: start << 32,
+            others,
+            known: HashMap::new(),
+            ages: BTreeSet::new(),
+            sure_from: if sure { now } else { now + REMEMBERED },
+            asked: BTreeMap::new(),
+            tellings: BTreeMap::new(),
+            done: Vec::new(),
+            records: Vec::new(),
+        };
+        for kept in kept {
+            match kept {
+                Kept::Claimed(key, holder, turn) => claims.put(now, key, holder, turn),
+                Kept::Ended(key, word) => claims.end(now, key, word),
+            }
+        }
+        claims.records.clear();
+        claims
+    }
+
+    /// This forwarder has lost what it held: it is another holder from now on, and not sure.
+    pub fn forget_own(&mut self, now: u64, memory: u64, start: u64) {
+        (self.own.memory, self.turn) = (memory, start << 32);
+        self.sure_from = now + REMEMBERED;
+    }
+
+    /// Ids that are remembered.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    fn put(&mut self, now: u64, key: Key, holder: Holder, turn: u64) {
+        if let Some(old) = self.known.get(&key) {
+            self.ages.remove(&(old.since, key));
+        }
+        self.records.push(Kept::Claimed(key, holder.clone(), turn));
+        self.known.insert(key, Entry { holder, turn, since: now, end: None });
+        self.ages.insert((now, key));
+        while self.ages.len() > MOST {
+            let Some((_, oldest)) = self.ages.pop_first() else { break };
+            self.known.remove(&oldest);
+        }
+    }
+
+    fn end(&mut self, now: u64, key: Key, word: Word) {
+        let Some(entry) = self.known.get_mut(&key) else { return };
+        if entry.end.map(|(word, _)| word) != Some(word) {
+            entry.end = Some((word, now));
+            self.records.push(Kept::Ended(key, word));
+        }
+    }
+
+    fn majority(&self) -> usize {
+        let members = self.others + 1;
+        members / 2 + 1
+    }
+
+    fn is_sure(&self, now: u64) -> bool {
+        now >= self.sure_from
+    }
+
+    /// Another member's claim.
+    pub fn answer(&mut self, now: u64, from: &Holder, claim: &Claim) -> Answer {
+        let sure = self.is_sure(now);
+        let Some(entry) = self.known.get(&claim.key) else {
+            self.put(now, claim.key, from.clone(), claim.turn);
+            return if sure { Answer::Yours(0) } else { Answer::Unsure };
+        };
+        let again = entry.holder == *from;
+        if again && (claim.turn < entry.turn || claim.turn == entry.turn && entry.end.is_some()) {
+            // Late: it has been given back since.
+            return Answer::Unsure;
+        }
+        match entry.end {
+            Some((Word::Delivered, _)) => return Answer::Ended(false),
+            Some((Word::Over, _)) => return Answer::Ended(true),
+            Some((Word::Back(span), at)) => {
+                let left = if span == 0 { 0 } else { span.saturating_sub(now - at) };
+                if span > 0 && left == 0 {
+                    return Answer::Ended(true);
+                }
+                self.put(now, claim.key, from.clone(), claim.turn);
+                return Answer::Yours(left);
+            }
+            None => {}
+        }
+        if again {
+            if claim.turn > entry.turn {
+                let since = entry.since;
+                self.put(since, claim.key, from.clone(), claim.turn);
+            }
+            return Answer::Yours(0);
+        }
+        if claim.over.as_ref() == Some(&entry.holder) {
+            // The partner remembers it since the first holder: how long ago that was stays.
+            let since = entry.since;
+            self.put(since, claim.key, from.clone(), claim.turn);
+            return Answer::Yours(0);
+        }
+        Answer::Held(entry.holder.clone(), now.saturating_sub(entry.since))
+    }
+
+    /// Begins to claim an id for this forwarder. [`Claims::done`] tells what has come of it.
+    pub fn claim(&mut self, now: u64, key: Key, effect: Effect) {
+        let majority = self.majority();
+        if let Some(asked) = self.asked.get_mut(&key) {
+            (asked.kept_on, asked.by) = (false, now + WITHIN);
+            if asked.yours.len() >= majority {
+                let left = asked.left;
+                self.finish(key, Verdict::Granted(left));
+            }
+            return;
+        }
+        self.turn += 1;
+        let turn = self.turn;
+        let asked = Asked {
+            effect,
+            turn,
+            yours: BTreeSet::new(),
+            answered: BTreeSet::new(),
+            left: 0,
+            held: None,
+            over: None,
+            again: now,
+            by: now + WITHIN,
+            kept_on: false,
+        };
+        self.asked.insert(key, asked);
+        let own = self.own.clone();
+        let answer = self.answer(now, &own, &Claim { key, turn, over: None });
+        // One's own vote stands in a place that no other has.
+        self.answered(now, self.others, key, turn, answer);
+    }
+
+    /// Whether an id is being claimed.
+    pub fn is_asking(&self, key: Key) -> bool {
+        self.asked.contains_key(&key)
+    }
+
+    /// A member has answered a claim.
+    pub fn answered(&mut self, now: u64, from: usize, key: Key, turn: u64, answer: Answer) {
+        let majority = self.majority();
+        let Some(asked) = self.asked.get_mut(&key).filter(|a| a.turn == turn) else { return };
+        asked.answered.insert(from);
+        match answer {
+            Answer::Yours(left) => {
+                if left > 0 {
+                    asked.left = if asked.left == 0 { left } else { asked.left.min(left) };
+                }
+                asked.yours.insert(from);
+                if asked.yours.len() >= majority && !asked.kept_on {
+                    let left = asked.left;
+                    self.finish(key, Verdict::Granted(left));
+                }
+            }
+            Answer::Ended(over) => {
+                self.end(now, key, if over { Word::Over } else { Word::Delivered });
+                self.finish(key, if over { Verdict::Over } else { Verdict::Delivered });
+            }
+            Answer::Held(holder, age) => {
+                if asked.over.is_none() && asked.held.as_ref().is_none_or(|(_, known)| *known < age) {
+                    asked.held = Some((holder, age));
+                }
+            }
+            Answer::Unsure => {}
+        }
+    }
+
+    /// Claims that another is found to hold: the keys and holders that are to be asked now.
+    pub fn to_ask(&self) -> Vec<(Key, Holder)> {
+        let held = self.asked.iter().filter(|(_, a)| a.over.is_none());
+        held.filter_map(|(key, a)| Some((*key, a.held.clone()?.0))).collect()
+    }
+
+    /// A holder has answered for a message.
+    pub fn status(&mut self, now: u64, from: &Holder, key: Key, status: Status) {
+        let Some(asked) = self.asked.get(&key) else { return };
+        if asked.held.as_ref().is_none_or(|(holder, _)| holder != from) {
+            return;
+        }
+        match status {
+            Status::Held => self.finish(key, Verdict::Held),
+            Status::Ended(Word::Delivered) => self.finish(key, Verdict::Delivered),
+            Status::Ended(Word::Over) => self.finish(key, Verdict::Over),
+            Status::Ended(word @ Word::Back(_)) => {
+                self.end(now, key, word);
+                self.give_up(now, key, Verdict::Later(SOON));
+            }
+            // It tells all that it has not got it.
+            Status::Unknown => self.give_up(now, key, Verdict::Later(SOON)),
+        }
+    }
+
+    /// The holder of a claimed message can't be reached, or it has another memory now: what is left to do is by the class.
+    pub fn out_of_reach(&mut self, now: u64, key: Key) {
+        let Some(asked) = self.asked.get_mut(&key) else { return };
+        let Some((holder, age)) = asked.held.clone() else { return };
+        match asked.effect {
+            Effect::Once(deadline) if age < deadline => self.give_up(now, key, Verdict::Later(LATER)),
+            Effect::Once(_) => self.give_up(now, key, Verdict::Over),
+            Effect::Keyed(window) => {
+                let left = window.saturating_sub(age + MARGIN);
+                if left == 0 {
+                    return self.give_up(now, key, Verdict::Over);
+                }
+                asked.left = left;
+                asked.over = Some(holder);
+                asked.yours.clear();
+                asked.answered.clear();
+                (asked.again, asked.by) = (now, now + WITHIN);
+                let (own, over, turn) = (self.own.clone(), asked.over.clone(), asked.turn);
+                let answer = self.answer(now, &own, &Claim { key, turn, over });
+                self.answered(now, self.others, key, turn, answer);
+            }
+        }
+    }
+
+    fn finish(&mut self, key: Key, verdict: Verdict) {
+        self.asked.remove(&key);
+        self.done.push((key, verdict));
+    }
+
+    /// A claim that comes to nothing: others may have let it in, and are told that it is free.
+    fn give_up(&mut self, now: u64, key: Key, verdict: Verdict) {
+        if self.known.get(&key).is_some_and(|e| e.holder == self.own && e.end.is_none()) {
+            self.end(now, key, Word::Back(0));
+        }
+        let missing = (0..self.others).collect();
+        let turn = self.asked.get(&key).map_or(self.turn, |a| a.turn);
+        self.tellings.insert(key, Telling { word: Word::Back(0), turn, missing, next: 0, tries: 0 });
+        self.finish(key, verdict);
+    }
+
+    /// A message that another asks for is not here: whoever believes that it is hears so.
+    pub fn deny(&mut self, now: u64, key: Key) {
+        let missing = (0..self.others).collect();
+        let turn = self.turn;
+        self.tellings.entry(key).or_insert(Telling {
+            word: Word::Back(0),
+            turn,
+            missing,
+            next: now,
+            tries: 0,
+        });
+    }
+
+    /// After a start: what of this forwarder's own messages stands open by the log. `status` tells how each truly is; what is
+    /// neither held nor ended was never taken on.
+    pub fn recheck(&mut self, now: u64, status: impl Fn(Key) -> Status) {
+        let open = self.known.iter().filter(|(_, e)| e.holder == self.own && e.end.is_none());
+        for key in open.map(|(key, _)| *key).collect::<Vec<_>>() {
+            match status(key) {
+                Status::Held => {}
+                Status::Ended(word) => self.tell(now, key, word),
+                Status::Unknown => self.tell(now, key, Word::Back(0)),
+            }
+        }
+    }
+
+    /// A message of this forwarder has ended, or was not taken on after all.
+    pub fn tell(&mut self, now: u64, key: Key, word: Word) {
+        let Some(turn) = self.known.get(&key).filter(|e| e.holder == self.own).map(|e| e.turn) else {
+            return;
+        };
+        self.end(now, key, word);
+        let missing = (0..self.others).collect();
+        self.tellings.insert(key, Telling { word, turn, missing, next: now, tries: 0 });
+    }
+
+    /// Another tells how a message of its own has ended.
+    pub fn told(&mut self, now: u64, from: &Holder, key: Key, turn: u64, word: Word) {
+        if let Some(entry) = self.known.get_mut(&key).filter(|e| e.holder == *from && e.turn <= turn) {
+            entry.turn = turn;
+            self.end(now, key, word);
+        }
+    }
+
+    /// Another has taken an end in.
+    pub fn acknowledged(&mut self, from: usize, key: Key) {
+        if let Some(telling) = self.tellings.get_mut(&key) {
+            telling.missing.remove(&from);
+            if telling.missing.is_empty() {
+                self.tellings.remove(&key);
+            }
+        }
+    }
+
+    /// What this forwarder has of a message that it is asked for.
+    pub fn own_status(&self, key: Key) -> Status {
+        match self.known.get(&key).filter(|e| e.holder == self.own) {
+            Some(Entry { end: Some((word, _)), .. }) => Status::Ended(*word),
+            Some(_) => Status::Held,
+            None => Status::Unknown,
+        }
+    }
+
+    /// What is to be asked of whom now, by member.
+    pub fn asking(&mut self, now: u64) -> BTreeMap<usize, Vec<Claim>> {
+        let mut by_member: BTreeMap<usize, Vec<Claim>> = BTreeMap::new();
+        for (key, asked) in self.asked.iter_mut().filter(|(_, a)| a.again <= now) {
+            asked.again = now + if asked.kept_on { AGAIN_KEPT_ON } else { AGAIN };
+            for member in (0..self.others).filter(|m| !asked.answered.contains(m)) {
+                let (turn, over) = (asked.turn, asked.over.clone());
+                by_member.entry(member).or_default().push(Claim { key: *key, turn, over });
+            }
+        }
+        by_member
+    }
+
+    /// What is to be told to whom now, by member.
+    pub fn telling(&mut self, now: u64) -> BTreeMap<usize, Vec<(Key, u64, Word)>> {
+        let mut by_member: BTreeMap<usize, Vec<(Key, u64, Word)>> = BTreeMap::new();
+        self.tellings.retain(|_, t| t.tries < TELLINGS);
+        for (key, telling) in self.tellings.iter_mut().filter(|(_, t)| t.next <= now) {
+            telling.next = now + ((2 * AGAIN) << telling.tries);
+            telling.tries += 1;
+            for member in &telling.missing {
+                by_member.entry(*member).or_default().push((*key, telling.turn, telling.word));
+            }
+        }
+        by_member
+    }
+
+    /// Ends what has been asked for long enough, and forgets what is old.
+    pub fn expire(&mut self, now: u64) {
+        let due: Vec<Key> = self.asked.iter().filter(|(_, a)| a.by <= now).map(|(key, _)| *key).collect();
+        for key in due {
+            let Some(asked) = self.asked.get(&key) else { continue };
+            if asked.kept_on {
+                // Its client has not come again.
+                self.give_up(now, key, Verdict::Later(LATER));
+                continue;
+            }
+            match (&asked.held, &asked.over, asked.effect) {
+                // Its holder has not answered in this time: it can't be reached.
+                (Some(_), None, _) => self.out_of_reach(now, key),
+                // Too few are there to say whether another has it. What its partner drops if it is a repeat may go; the other
+                // may not.
+                (_, _, Effect::Keyed(window)) => {
+                    let left = if asked.left == 0 { window.saturating_sub(MARGIN) } else { asked.left };
+                    self.finish(key, Verdict::Granted(left));
+                }
+                (_, _, Effect::Once(_)) => {
+                    if let Some(asked) = self.asked.get_mut(&key) {
+                        (asked.kept_on, asked.by) = (true, now + KEPT_ON);
+                    }
+                    self.done.push((key, Verdict::Later(LATER)));
+                }
+            }
+        }
+        while let Some((since, key)) =
+            self.ages.first().copied().filter(|(since, _)| since + REMEMBERED <= now)
+        {
+            self.ages.remove(&(since, key));
+            self.known.remove(&key);
+        }
+    }
+
+    /// When something is due.
+    pub fn due(&self) -> Option<u64> {
+        let asked = self.asked.values().map(|a| a.again.min(a.by));
+        asked.chain(self.tellings.values().map(|t| t.next)).min()
+    }
+
+    /// Claims that are settled.
+    pub fn done(&mut self) -> Vec<(Key, Verdict)> {
+        std::mem::take(&mut self.done)
+    }
+
+    /// What is to be kept before answers leave.
+    pub fn records(&mut self) -> Vec<Kept> {
+        std::mem::take(&mut self.records)
+    }
+
+    /// Everything that stands, for a log that is written anew.
+    pub fn standing(&self) -> Vec<Kept> {
+        let mut kept = Vec::with_capacity(2 * self.known.len());
+        for (_, key) in &self.ages {
+            let Some(entry) = self.known.get(key) else { continue };
+            kept.push(Kept::Claimed(*key, entry.holder.clone(), entry.turn));
+            kept.extend(entry.end.map(|(word, _)| Kept::Ended(*key, word)));
+        }
+        kept
+    }
+}
--- a/crates/peers/src/machine.rs
+++ b/crates/peers/src/machine.rs
@@ -3,7 +3,9 @@
 //! One owner calls it: [`Peers::datagram`] for each that has come, [`Peers::tick`] when [`Peers::due`] has passed, and
 //! after either [`Peers::outputs`]. Times are milliseconds of one clock that only advances.
 
+use crate::claims::{self, Answer, Claims, Holder, Kept, Key, Status};
 use crate::fact::{Dot, Fact, Run, Subject, Word};
+use crate::hints::{self, Hints};
 use crate::ledger::{Extent, Ledger, Stretch, Taken, Verdict, BUCKETS};
 use crate::members::{Id, Members, Pace, Standing, Wanted};
 use crate::orders::{Desk, Refusal, Settled};
@@ -53,6 +55,8 @@
     pub catch_up: u64,
     /// A returning forwarder counts as caught up after this span in any case.
     pub ready_within: u64,
+    /// Others are told of waits that partners tell.
+    pub share_waits: bool,
     /// Spans of the failure detector.
     pub pace: Pace,
     /// For random numbers and the session: drawn anew at each start, and not to be guessed.
@@ -72,6 +76,12 @@
     pub lost: Vec<Dot>,
     /// The highest start number that each other has been heard under.
     pub seen: BTreeMap<String, u64>,
+    /// Which memory of its messages this forwarder has; 0 if its folder is new.
+    pub memory: u64,
+    /// What was granted to others, and whether that is all of it.
+    pub claims: Vec<Kept>,
+    /// See `claims`.
+    pub claims_whole: bool,
 }
 
 /// What a store is to keep.
@@ -83,6 +93,8 @@
     Drop(Dot),
     /// What is known beside the facts.
     Extent(Extent),
+    /// Which memory of its messages this forwarder has.
+    Memory(u64),
     /// This life's start number.
     Start(u64),
     /// The highest start number of another.
@@ -109,6 +121,12 @@
     Changed(Subject),
     /// A fact that was alive here is dropped: others have dropped it beyond the horizon.
     Aside(Fact),
+    /// What has been granted, to be written before what follows is sent.
+    KeepClaims(Vec<Kept>),
+    /// Another has been told to wait by a partner: nothing is to be sent to it until then.
+    Hold(u32, u64),
+    /// What has come of the claim of an id.
+    Claim(Key, claims::Verdict),
     /// What an order has come to.
     Settled(u64, Result<Settled, Refusal>),
     /// For the operators.
@@ -187,6 +205,11 @@
     members: Members,
     ledger: Ledger,
     desk: Desk,
+    claims: Claims,
+    hints: Hints,
+    memory: u64,
+    /// Claims and ends that others are to hear of, once what has been granted is written.
+    outgoing: Vec<(usize, Message)>,
     pushes: BTreeMap<Dot, Push>,
     damage: BTreeMap<Dot, Damage>,
     /// Whom to tell that facts are kept, by the ticket under which they go to the store.
@@ -215,7 +238,12 @@
     /// A forwarder that has just come up at `now`.
     pub fn new(now: u64, settings: Settings, sealer: Sealer, restored: Restored) -> Peers {
         let mut random = SmallRng::seed_from_u64(settings.seed);
-        let Restored { start, facts, extent, lost, seen } = restored;
+        let Restored { start, facts, extent, lost, seen, memory, claims, claims_whole } = restored;
+        // A folder that has none is new, or was lost: others tell which.
+        let (fresh, memory) = (memory == 0, if memory == 0 { random.random::<u64>() | 1 } else { memory });
+        let own = Holder { name: settings.name.clone(), memory };
+        let sure = claims_whole || fresh && start == 1;
+        let claims = Claims::new(now, own, start, settings.others.len(), sure, claims);
         let session = random.random::<u64>() | 1;
         let run = Run { name: settings.name.clone(), start, salt: session };
         let mut ledger = Ledger::default();
@@ -235,6 +263,10 @@
             members,
             ledger,
             desk: Desk::new(settings.others.len()),
+            claims,
+            hints: Hints::default(),
+            memory,
+            outgoing: Vec::new(),
             random,
             born: now,
             now,
@@ -244,7 +276,7 @@
             damage: BTreeMap::new(),
             to_tell: BTreeMap::new(),
             unticketed: Vec::new(),
-            records: vec![Record::Start(start)],
+            records: vec![Record::Start(start), Record::Memory(memory)],
             next_ticket: 1,
             kept_upto: 0,
             digest_at: now,
@@ -339,6 +371,7 @@
         let hello = self.links.iter().filter(|l| self.wants_hello(l)).map(|l| l.hello_at).min();
         let damage = self.damage.values().map(|d| d.since + ASK_FOR).min();
         let wakes = [
+            self.claims.due(),
             Some(self.digest_at),
             Some(self.tidy_at),
             pushes,
@@ -352,6 +385,7 @@
 
     /// What is to be done now.
     pub fn outputs(&mut self) -> Vec<Output> {
+        self.step_claims();
         if !self.records.is_empty() {
             let ticket = self.next_ticket;
             self.next_ticket += 1;
@@ -480,6 +514,7 @@
         self.ask_all();
         self.step_queries();
         self.step_damage();
+        self.claims.expire(now);
         if self.digest_at <= now {
             self.digest_at = now + DIGEST_EVERY / 2 + self.random.random_range(0..DIGEST_EVERY);
             if let Some(link) = self.any_present(1).first().copied() {
@@ -648,12 +683,16 @@
             return Err(Refused::Stale);
         }
         self.meet(link, &head)?;
+        let heard = self.links[link].heard.unwrap_or(self.now);
+        let since = self.now.saturating_sub(heard) as i64;
         let Some(present) = &mut self.links[link].present else { return Err(Refused::Stale) };
         if !present.window.is_new(head.seq) {
             return Err(Refused::Replayed);
         }
         let span = self.now as i64 - head.sent as i64;
-        present.offset = present.offset.min(span);
+        // Clocks that run unlike each other move it, by less than one part in fifty: so much of it is not lateness.
+        present.offset = (present.offset + 1 + since / 50).min(span);
+        let late = (span - present.offset).max(0) as u64;
         self.links[link].heard = Some(self.now);
         if head.kind == Kind::Welcome {
             let known: Known = postcard::from_bytes(payload).map_err(|_| Refused::Unreadable)?;
@@ -661,7 +700,7 @@
             return Ok(());
         }
         for message in unpack(payload).ok_or(Refused::Unreadable)? {
-            self.message(link, message)?;
+            self.message(link, message, late)?;
         }
         Ok(())
     }
@@ -753,6 +792,10 @@
             return;
         }
         self.old_state = true;
+        // What its later life held and granted is not in this folder.
+        self.memory = self.random.random::<u64>() | 1;
+        self.claims.forget_own(self.now, self.memory, known.start + 1);
+        self.records.push(Record::Memory(self.memory));
         let before = self.run.start;
         self.run.start = known.start + 1;
         self.records.push(Record::Start(self.run.start));
@@ -770,7 +813,7 @@
         }
     }
 
-    fn message(&mut self, link: usize, message: Message) -> Result<(), Refused> {
+    fn message(&mut self, link: usize, message: Message, late: u64) -> Result<(), Refused> {
         match message {
             Message::Swim(data) => {
                 let (read, wanted) = self.members.heard(self.now, &data);
@@ -816,6 +859,55 @@
                     }
                 }
             }
+            Message::Waits(waits) => {
+                for (partner, left) in waits.into_iter().take(hints::MOST) {
+                    let until = self.hints.wait(self.now, link, partner, left.saturating_sub(late));
+                    self.out.extend(until.map(|until| Output::Hold(partner, until)));
+                }
+            }
+            Message::Claims(memory, claims) => {
+                let from = self.holder(link, memory);
+                for chunk in claims.chunks(claims::ITEMS) {
+                    let answer = |c: &claims::Claim| (c.key, c.turn, self.claims.answer(self.now, &from, c));
+                    let answers = chunk.iter().map(answer).collect();
+                    self.outgoing.push((link, Message::Claimed(answers)));
+                }
+            }
+            Message::Claimed(answers) => {
+                for (key, turn, answer) in answers {
+                    let held = matches!(answer, Answer::Held(..));
+                    self.claims.answered(self.now, link, key, turn, answer);
+                    if held {
+                        self.ask_holder(key);
+                    }
+                }
+            }
+            Message::Ended(memory, ends) => {
+                let from = self.holder(link, memory);
+                let keys = ends.iter().map(|(key, ..)| *key).collect();
+                for (key, turn, word) in ends {
+                    self.claims.told(self.now, &from, key, turn, word);
+                }
+                self.outgoing.push((link, Message::EndKnown(keys)));
+            }
+            Message::EndKnown(keys) => keys.into_iter().for_each(|key| self.claims.acknowledged(link, key)),
+            Message::Whose(key) => {
+                let status = self.claims.own_status(key);
+                if status == Status::Unknown {
+                    self.claims.deny(self.now, key);
+                }
+                self.outgoing.push((link, Message::Is(self.memory, key, status)));
+            }
+            Message::Is(memory, key, status) => {
+                let from = self.holder(link, memory);
+                self.claims.status(self.now, &from, key, status);
+                // With another memory than the one that holds it, nobody can be asked any more.
+                let held = self.claims.to_ask();
+                let other = held.iter().any(|(k, h)| *k == key && h.name == from.name && *h != from);
+                if other {
+                    self.claims.out_of_reach(self.now, key);
+                }
+            }
             Message::Word(fact) => {
                 if fact.dot.run.name == self.links[link].name && fact.is_sound() {
                     self.word(*fact);
@@ -936,6 +1028,92 @@
         }
     }
 
+    // ---- hints ----
+
+    /// A partner has told this forwarder to wait for so many milliseconds. The others hear of it once: one that does not is
+    /// told by the partner itself.
+    pub fn told_to_wait(&mut self, now: u64, partner: u32, left: u64) {
+        self.now = now.max(self.now);
+        if left < hints::LEAST || !self.settings.share_waits {
+            return;
+        }
+        for link in 0..self.links.len() {
+            self.send(link, &[Message::Waits(vec![(partner, left)])]);
+        }
+    }
+
+    // ---- ids ----
+
+    fn holder(&self, link: usize, memory: u64) -> Holder {
+        Holder { name: self.links[link].name.clone(), memory }
+    }
+
+    /// Begins to claim the id of a message that is handed in here; [`Output::Claim`] tells what has come of it.
+    pub fn claim(&mut self, now: u64, key: Key, effect: claims::Effect) {
+        self.now = now.max(self.now);
+        self.claims.claim(self.now, key, effect);
+        self.ask_holder(key);
+    }
+
+    /// A message of this forwarder has ended, or was not taken on after all.
+    pub fn ended(&mut self, now: u64, key: Key, word: claims::Word) {
+        self.now = now.max(self.now);
+        self.claims.tell(self.now, key, word);
+    }
+
+    /// After a start: see [`Claims::recheck`].
+    pub fn recheck(&mut self, now: u64, status: impl Fn(Key) -> Status) {
+        self.now = now.max(self.now);
+        self.claims.recheck(self.now, status);
+    }
+
+    /// Everything granted that stands, for a log that is written anew.
+    pub fn standing_claims(&self) -> Vec<Kept> {
+        self.claims.standing()
+    }
+
+    /// Ids that are known.
+    pub fn ids(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Asks whoever holds an id that is claimed here for what has become of it.
+    fn ask_holder(&mut self, key: Key) {
+        let Some((_, holder)) = self.claims.to_ask().into_iter().find(|(k, _)| *k == key) else { return };
+        let link = self.links.iter().position(|l| l.name == holder.name);
+        match link {
+            Some(link) if self.links[link].present.is_some() => self.send(link, &[Message::Whose(key)]),
+            // Of one's own name: an earlier memory, which nobody has any more.
+            _ => self.claims.out_of_reach(self.now, key),
+        }
+    }
+
+    fn step_claims(&mut self) {
+        for (link, claims) in self.claims.asking(self.now) {
+            let memory = self.memory;
+            let parts = claims.chunks(claims::ITEMS).map(|c| (link, Message::Claims(memory, c.to_vec())));
+            self.outgoing.extend(parts);
+        }
+        for (link, ends) in self.claims.telling(self.now) {
+            let memory = self.memory;
+            let parts = ends.chunks(claims::ITEMS).map(|c| (link, Message::Ended(memory, c.to_vec())));
+            self.outgoing.extend(parts);
+        }
+        let records = self.claims.records();
+        if !records.is_empty() {
+            // Before the answers that rest on them.
+            self.out.insert(0, Output::KeepClaims(records));
+        }
+        let mut by_link: BTreeMap<usize, Vec<Message>> = BTreeMap::new();
+        for (link, message) in std::mem::take(&mut self.outgoing) {
+            by_link.entry(link).or_default().push(message);
+        }
+        for (link, messages) in by_link {
+            self.send(link, &messages);
+        }
+        self.out.extend(self.claims.done().into_iter().map(|(key, verdict)| Output::Claim(key, verdict)));
+    }
+
     // ---- copies that differ ----
 
     fn found_damaged(&mut self, link: usize, dot: Dot, other: Option<Fact>) {
--- a/crates/peers/src/store.rs
+++ b/crates/peers/src/store.rs
@@ -1,5 +1,6 @@
 //! The ledger on disk: an embedded store in the state folder. What it can't read it tells, and goes on without.
 
+use crate::claims::Kept;
 use crate::fact::{Dot, Fact};
 use crate::ledger::Extent;
 use crate::machine::{Record, Restored};
@@ -24,6 +25,7 @@
 const EXTENT: &str = "extent";
 const START: &str = "start";
 const SEEN: &str = "seen/";
+const MEMORY: &str = "memory";
 /// Memory that the store may use for its pages.
 const CACHE: usize = 1 << 20;
 /// Damaged stores that are kept beside the present one.
@@ -128,6 +130,116 @@
     }
 }
 
+/// Name of the file of claims in the state folder.
+pub const CLAIMS: &str = "peers-claims";
+/// The log is written anew when it is longer than this, and than twice what stands.
+const LONG: u64 = 4 << 20;
+/// Where the system tells which start of the machine this is: what a process wrote before is there as long as it is the same.
+const BOOT: &str = "/proc/sys/kernel/random/boot_id";
+
+/// What this forwarder has granted to others, in a file that outlives the process. It does not wait for the disk: after
+/// the machine has gone down it counts as lost, and so does its owner's vote for a while.
+#[derive(Debug)]
+pub struct ClaimLog {
+    path: PathBuf,
+    file: Option<std::fs::File>,
+    length: u64,
+    boot: String,
+}
+
+/// A log of claims that has been opened.
+#[derive(Debug)]
+pub struct OpenedClaims {
+    /// The log.
+    pub log: ClaimLog,
+    /// What was granted.
+    pub kept: Vec<Kept>,
+    /// Whether that is all of it.
+    pub whole: bool,
+}
+
+fn frame(bytes: &[u8]) -> Vec<u8> {
+    let mut framed = (bytes.len() as u32).to_le_bytes().to_vec();
+    framed.extend(&Sha256::digest(bytes)[..4]);
+    framed.extend(bytes);
+    framed
+}
+
+/// The first frame's content, and what is behind it.
+fn unframe(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (head, rest) = bytes.split_at_checked(8)?;
+    let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    let (content, behind) = rest.split_at_checked(length)?;
+    (Sha256::digest(content)[..4] == head[4..]).then_some((content, behind))
+}
+
+impl ClaimLog {
+    /// Opens the log of a state folder, or begins one.
+    pub fn open(folder: &Path) -> OpenedClaims {
+        let path = folder.join(CLAIMS);
+        let boot = std::fs::read_to_string(BOOT).unwrap_or_default().trim().to_string();
+        let bytes = std::fs::read(&path).unwrap_or_default();
+        let (mut kept, mut whole, mut rest) = (Vec::new(), false, &bytes[..]);
+        if let Some((head, behind)) = unframe(rest) {
+            whole = !boot.is_empty() && head == boot.as_bytes();
+            rest = behind;
+            while let Some((content, behind)) = unframe(rest) {
+                rest = behind;
+                match postcard::from_bytes(content) {
+                    Ok(record) => kept.push(record),
+                    Err(_) => whole = false,
+                }
+            }
+        }
+        // A part of a record at the end was not acted on: its process was killed while it wrote it.
+        let mut log = ClaimLog { path, file: None, length: 0, boot };
+        whole &= log.write_anew(&kept).is_ok();
+        OpenedClaims { log, kept, whole }
+    }
+
+    fn write_anew(&mut self, standing: &[Kept]) -> io::Result<()> {
+        let mut bytes = frame(self.boot.as_bytes());
+        for record in standing {
+            bytes.extend(frame(&postcard::to_stdvec(record).map_err(io::Error::other)?));
+        }
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, &bytes)?;
+        std::fs::rename(&new, &self.path)?;
+        self.file = Some(std::fs::OpenOptions::new().append(true).open(&self.path)?);
+        self.length = bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Appends records; `standing` gives all that stands, where the log has become long.
+    ///
+    /// # Errors
+    /// They could not be written: a restart would not know of them.
+    pub fn append(&mut self, records: &[Kept], standing: impl FnOnce() -> Vec<Kept>) -> io::Result<()> {
+        use std::io::Write;
+        let named = |path: &Path, e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", path.display()));
+        let mut bytes = Vec::new();
+        for record in records {
+            bytes.extend(frame(&postcard::to_stdvec(record).map_err(io::Error::other)?));
+        }
+        if self.length > LONG || self.file.is_none() {
+            let all = standing();
+            self.write_anew(&all).map_err(|e| named(&self.path, e))?;
+            // What stands may be long by itself.
+            self.length = self.length.saturating_sub(LONG / 2);
+            return Ok(());
+        }
+        let Some(file) = &mut self.file else { return Ok(()) };
+        if let Err(e) = file.write_all(&bytes) {
+            // What is there is not all any more: a restart must not count on it. The next one is written anew.
+            self.file = None;
+            let _ = std::fs::remove_file(&self.path);
+            return Err(named(&self.path, e));
+        }
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+}
+
 fn builder() -> redb::Builder {
     let mut builder = Database::builder();
     builder.set_cache_size(CACHE);
@@ -183,6 +295,7 @@
                 let (key, value) = (key.value(), value.value());
                 match key {
                     START => restored.start = decode(value).unwrap_or(0),
+                    MEMORY => restored.memory = decode(value).unwrap_or(0),
                     EXTENT => match decode::<Extent>(value) {
                         Some(extent) => restored.extent = extent,
                         None => told.push(format!("the mark {key} can't be read")),
@@ -237,6 +350,7 @@
                 }
                 Record::Drop(dot) => drop(facts.remove(key(dot)?.as_slice()).map_err(other)?),
                 Record::Extent(extent) => drop(last.insert(EXTENT.into(), encode(extent)?)),
+                Record::Memory(memory) => drop(last.insert(MEMORY.into(), encode(memory)?)),
                 Record::Start(start) => drop(last.insert(START.into(), encode(start)?)),
                 Record::Seen(name, start) => drop(last.insert(format!("{SEEN}{name}"), encode(start)?)),
             }
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -1,5 +1,6 @@
 //! What forwarders tell each other, inside sealed datagrams: some messages in each.
 
+use crate::claims::{self, Answer, Claim, Key, Status};
 use crate::fact::{Dot, Fact, Run, Subject};
 use crate::ledger::{Stretch, BUCKETS};
 use crate::seal::PAYLOAD;
@@ -53,6 +54,20 @@
     AskWord(Dot),
     /// The author's word.
     Word(Box<Fact>),
+    /// The sender claims these ids, for the memory that it has.
+    Claims(u64, Vec<Claim>),
+    /// What the sender answers to claims.
+    Claimed(Vec<(Key, u64, Answer)>),
+    /// How messages of the sender's memory have ended.
+    Ended(u64, Vec<(Key, u64, claims::Word)>),
+    /// These ends are known to the sender.
+    EndKnown(Vec<Key>),
+    /// Does the receiver hold this message?
+    Whose(Key),
+    /// Whether the sender, with this memory, holds a message.
+    Is(u64, Key, Status),
+    /// Partners, by the CRC-32 of their names, that have told the sender to wait, and for how many milliseconds yet.
+    Waits(Vec<(u32, u64)>),
 }
 
 /// In a welcome: what the sender knows of the one that it answers.
--- /dev/null
+++ b/crates/peers/tests/ids.rs
@@ -0,0 +1,162 @@
+//! Ids among members: of two that claim one id one is granted at most, whatever fails between them.
+
+mod world;
+
+use foldtrack_peers::claims::{key, Effect, Verdict, Word};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use world::{Net, World};
+
+const ONCE: Effect = Effect::Once(8_000);
+const KEYED: Effect = Effect::Keyed(20_000);
+
+#[test]
+fn an_id_that_one_holds_is_known_to_all_until_it_has_ended_and_after() {
+    let mut world = World::started(5, 1);
+    assert_eq!(world.claim(0, "m", ONCE), Verdict::Granted(0));
+    assert_eq!(world.claim(3, "m", ONCE), Verdict::Held);
+    world.ended(0, "m", Word::Delivered);
+    world.run(500);
+    world.kill(0);
+    for n in 1..5 {
+        assert_eq!(world.claim(n, "m", ONCE), Verdict::Delivered);
+    }
+    // One that was given up is over; one that was refused, or handed back, may come again anywhere.
+    assert_eq!(world.claim(1, "over", ONCE), Verdict::Granted(0));
+    world.ended(1, "over", Word::Over);
+    world.run(500);
+    assert_eq!(world.claim(2, "over", ONCE), Verdict::Over);
+    assert_eq!(world.claim(1, "back", ONCE), Verdict::Granted(0));
+    world.ended(1, "back", Word::Back(0));
+    world.run(500);
+    assert_eq!(world.claim(2, "back", ONCE), Verdict::Granted(0));
+    assert_eq!(world.claim(1, "back", ONCE), Verdict::Held);
+    // Where an attempt may have run it may come again only as long as that does no harm.
+    assert_eq!(world.claim(3, "until", KEYED), Verdict::Granted(0));
+    world.ended(3, "until", Word::Back(5_000));
+    world.run(2_000);
+    let Verdict::Granted(left) = world.claim(4, "until", KEYED) else { panic!() };
+    assert!((2_000..3_100).contains(&left), "{left}");
+    assert_eq!(world.claim(2, "until-2", KEYED), Verdict::Granted(0));
+    world.ended(2, "until-2", Word::Back(1_000));
+    world.run(2_000);
+    assert_eq!(world.claim(4, "until-2", KEYED), Verdict::Over);
+}
+
+/// Its holder is killed with the call out: a payment is not sent again, a keyed message as long as its partner remembers.
+#[test]
+fn what_a_dead_forwarder_holds_is_decided_by_class() {
+    let mut world = World::started(5, 2);
+    assert_eq!(world.claim(0, "pay", ONCE), Verdict::Granted(0));
+    assert_eq!(world.claim(0, "update", KEYED), Verdict::Granted(0));
+    world.kill(0);
+    assert!(matches!(world.claim(1, "pay", ONCE), Verdict::Later(_)));
+    let Verdict::Granted(left) = world.claim(1, "update", KEYED) else { panic!() };
+    assert!((17_000..19_500).contains(&left), "{left}");
+    // The second holder is killed as well: the span still counts from the first.
+    world.run(5_000);
+    world.kill(1);
+    let Verdict::Granted(less) = world.claim(2, "update", KEYED) else { panic!() };
+    assert!(less + 4_500 < left, "{less} of {left}");
+    world.run(10_000);
+    world.start(1);
+    world.run(4_000);
+    assert_eq!(world.claim(3, "pay", ONCE), Verdict::Over);
+    world.kill(2);
+    world.run(10_000);
+    assert_eq!(world.claim(3, "update", KEYED), Verdict::Over);
+    // Back on its folder, the first one answers for what it has.
+    world.start(0);
+    world.run(8_000);
+    assert_eq!(world.claim(4, "pay", ONCE), Verdict::Held);
+}
+
+#[test]
+fn a_holder_that_has_lost_its_memory_is_another_one() {
+    let mut world = World::started(3, 3);
+    assert_eq!(world.claim(0, "pay", ONCE), Verdict::Granted(0));
+    world.run(100);
+    world.kill(0);
+    world.nodes[0].disk = Default::default();
+    world.start(0);
+    world.run(3_000);
+    assert!(matches!(world.claim(0, "pay", ONCE), Verdict::Later(_)));
+    world.run(8_000);
+    assert_eq!(world.claim(0, "pay", ONCE), Verdict::Over);
+    // It does not know what it had granted, and does not count: two others are a majority of three.
+    assert_eq!(world.claim(1, "new", ONCE), Verdict::Granted(0));
+    world.kill(2);
+    assert!(matches!(world.claim(1, "newer", ONCE), Verdict::Later(_)));
+}
+
+#[test]
+fn a_minority_takes_no_payment_and_what_partners_drop_if_repeated() {
+    let mut world = World::started(5, 4);
+    world.link = Box::new(|a, b| (a < 2) == (b < 2));
+    assert!(matches!(world.claim(0, "pay", ONCE), Verdict::Later(_)));
+    assert!(matches!(world.claim(0, "update", KEYED), Verdict::Granted(19_000)));
+    assert_eq!(world.claim(2, "pay", ONCE), Verdict::Granted(0));
+    world.link = Box::new(|_, _| true);
+    world.run(2_000);
+    assert_eq!(world.claim(0, "pay", ONCE), Verdict::Held);
+}
+
+#[test]
+fn what_was_granted_outlives_the_processes_that_granted_it() {
+    let mut world = World::started(3, 5);
+    assert_eq!(world.claim(0, "pay", ONCE), Verdict::Granted(0));
+    world.run(50);
+    (0..3).for_each(|n| world.kill(n));
+    for n in 1..3 {
+        world.start(n);
+    }
+    world.run(5_000);
+    assert!(matches!(world.claim(1, "pay", ONCE), Verdict::Later(_)));
+    assert_eq!(world.claim(2, "other", ONCE), Verdict::Granted(0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, ..ProptestConfig::default() })]
+
+    /// Several claim one id at once, over a lossy network with cuts, kills and restarts: of those that are granted and neither
+    /// give it back nor lose their folder there is one.
+    #[test]
+    fn of_many_that_claim_one_id_one_is_granted(
+        claimers in prop::collection::vec((0..5usize, 0..400u64), 2..8), sides in any::<u8>(), killed in 0..5usize, seed in any::<u64>()
+    ) {
+        let mut world = World::started(5, seed);
+        world.net = Net { loss: 0.2, delay: (0, 60), twice: 0.1 };
+        world.link = Box::new(move |a, b| (sides >> a) & 1 == (sides >> b) & 1 || sides > 200);
+        let (mut granted, mut asking): (BTreeSet<usize>, BTreeSet<usize>) = Default::default();
+        let settle = |world: &mut World, granted: &mut BTreeSet<usize>, asking: &mut BTreeSet<usize>| {
+            for n in 0..5 {
+                if let Some((_, verdict)) = world.nodes[n].claims.remove(&key("m")) {
+                    asking.remove(&n);
+                    if verdict == Verdict::Granted(0) {
+                        granted.insert(n);
+                    }
+                }
+            }
+        };
+        for (n, pause) in claimers {
+            if world.nodes[n].peers.is_none() {
+                world.start(n);
+                world.run(1_000);
+            }
+            // A forwarder knows by itself what it holds, and asks once for what it does not.
+            if !granted.contains(&n) && asking.insert(n) {
+                let now = world.clock(n);
+                world.nodes[n].peers.as_mut().unwrap().claim(now, key("m"), ONCE);
+            }
+            world.run(pause);
+            settle(&mut world, &mut granted, &mut asking);
+            if pause % 7 == 0 {
+                world.kill(killed);
+                asking.remove(&killed);
+            }
+        }
+        world.run(2_000);
+        settle(&mut world, &mut granted, &mut asking);
+        prop_assert!(granted.len() <= 1, "{granted:?}");
+    }
+}
--- a/crates/peers/tests/world/mod.rs
+++ b/crates/peers/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! Members in simulated time: clocks of their own, a network with seeded faults, stores that outlive processes.
 #![allow(dead_code)]
 
+use foldtrack_peers::claims::{key, Effect, Kept, Key, Verdict};
 use foldtrack_peers::fact::{Dot, Fact, Subject, Word};
 use foldtrack_peers::ledger::Extent;
 use foldtrack_peers::orders::{Refusal, Settled};
@@ -34,6 +35,8 @@
     pub extent: Extent,
     pub start: u64,
     pub seen: BTreeMap<String, u64>,
+    pub memory: u64,
+    pub claims: Vec<Kept>,
 }
 
 impl Disk {
@@ -43,6 +46,7 @@
                 Record::Fact(fact, dead) => drop(self.facts.insert(fact.dot.clone(), (fact, dead))),
                 Record::Drop(dot) => drop(self.facts.remove(&dot)),
                 Record::Extent(extent) => self.extent = extent,
+                Record::Memory(memory) => self.memory = memory,
                 Record::Start(start) => self.start = start,
                 Record::Seen(name, start) => drop(self.seen.insert(name, start)),
             }
@@ -62,6 +66,9 @@
     pub aside: Vec<Fact>,
     pub settled: BTreeMap<u64, (u64, Result<Settled, Refusal>)>,
     /// Stopped: datagrams wait for it, as in a socket's buffer, and time goes on.
+    pub claims: BTreeMap<Key, (u64, Verdict)>,
+    /// Partners that were to be held, and until when by its own clock.
+    pub holds: Vec<(u32, u64)>,
     pub stopped: bool,
     /// When it is to be ticked next, by its own clock.
     due: u64,
@@ -123,6 +130,8 @@
                 events: Vec::new(),
                 aside: Vec::new(),
                 settled: BTreeMap::new(),
+                claims: BTreeMap::new(),
+                holds: Vec::new(),
                 stopped: false,
                 due: 0,
                 waiting: Vec::new(),
@@ -158,6 +167,7 @@
             horizon: self.horizon,
             catch_up: self.catch_up,
             ready_within: 5_000,
+            share_waits: true,
             pace: self.pace,
             seed,
         }
@@ -172,6 +182,9 @@
             extent: disk.extent,
             lost: Vec::new(),
             seen: disk.seen,
+            memory: disk.memory,
+            claims: disk.claims,
+            claims_whole: disk.memory != 0,
         };
         self.nodes[n].disk.start += 1;
         let (seed, now) = (self.random.u64(..), self.clock(n));
@@ -238,6 +251,9 @@
                     self.at(self.now + DISK, Happening::Kept { node: n, life, ticket, records });
                 }
                 Output::Changed(_) => {}
+                Output::Hold(partner, until) => self.nodes[n].holds.push((partner, until)),
+                Output::KeepClaims(records) => self.nodes[n].disk.claims.extend(records),
+                Output::Claim(key, verdict) => drop(self.nodes[n].claims.insert(key, (self.now, verdict))),
                 Output::Aside(fact) => self.nodes[n].aside.push(fact),
                 Output::Settled(order, result) => {
                     drop(self.nodes[n].settled.insert(order, (self.now, result)))
@@ -323,6 +339,29 @@
         self.nodes[n].settled[&order].1.clone()
     }
 
+    /// A partner has told one to wait.
+    pub fn told_to_wait(&mut self, n: usize, partner: u32, left: u64) {
+        let now = self.clock(n);
+        self.nodes[n].peers.as_mut().unwrap().told_to_wait(now, partner, left);
+        self.outputs(n);
+    }
+
+    /// Claims an id at one, and waits for what comes of it.
+    pub fn claim(&mut self, n: usize, id: &str, effect: Effect) -> Verdict {
+        let now = self.clock(n);
+        self.nodes[n].claims.remove(&key(id));
+        self.nodes[n].peers.as_mut().unwrap().claim(now, key(id), effect);
+        self.outputs(n);
+        self.until(5_000, |w| w.nodes[n].claims.contains_key(&key(id))).expect("the claim is settled");
+        self.nodes[n].claims[&key(id)].1
+    }
+
+    pub fn ended(&mut self, n: usize, id: &str, word: foldtrack_peers::claims::Word) {
+        let now = self.clock(n);
+        self.nodes[n].peers.as_mut().unwrap().ended(now, key(id), word);
+        self.outputs(n);
+    }
+
     pub fn closed(&self, n: usize, name: &str) -> bool {
         self.peers(n).verdict(&endpoint(name)).closed.is_some()
     }
