Answer a message that is handed in elsewhere by what is known of it, never sending it twice

The change: node/intake.rs hands a message to the module only once its id is this forwarder's (`take_on`); node/peers.rs answers 202, 409 or 503 with a wait by what came of the claim, tells ends, and at a start tells the others what it truly has (`recheck_ids`). The story `elsewhere`; payments of the rig carry no key any more that a partner could drop a repeat by.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -67,6 +67,8 @@
     pub seed: u64,
     /// A client whose forwarder does not answer turns to the next.
     pub elsewhere: bool,
+    /// Share of the answers that get lost on the way, for messages whose client turns to another then.
+    pub lost_answers: f64,
     /// Shares of the partners: name and weight.
     pub partners: &'a [(String, u32)],
     /// It ends early.
@@ -120,11 +122,16 @@
             }
             _ => (format!("/{class}/"), format!("class={class};")),
         };
-        let headers = format!("X-Partner: {partner}\r\nIdempotency-Key: {id}\r\n");
+        // Only what is keyed has a key: a payment that comes twice must take effect twice at the partner, to be seen.
+        let key = if class == "update" { format!("Idempotency-Key: {id}\r\n") } else { String::new() };
+        let headers = format!("X-Partner: {partner}\r\n{key}");
         let request = post(&path, &headers, &id, &body);
         let (from, mut at) = (Instant::now(), home);
         loop {
-            let answer = kept[at].ask(&request, true);
+            let mut answer = kept[at].ask(&request, true);
+            if load.elsewhere && class != "update" && random.f64() < load.lost_answers {
+                answer = None;
+            }
             let now = Instant::now();
             let (pause, unknown) = match answer.as_ref().map(|a| a.status) {
                 Some(202) => {
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -7,7 +7,7 @@
 use crate::story::{Step, Story, What};
 use crate::verdict::{Breaches, Drain, Report};
 use foldtrack_control::Ask;
-use foldtrack_standin::books::{judge, Books, Verdict};
+use foldtrack_standin::books::{judge, Books, Fate, Verdict};
 use foldtrack_standin::{Conduct, Partner};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -136,6 +136,7 @@
         lasts: story.lasts,
         seed: *seed,
         elsewhere: story.elsewhere,
+        lost_answers: story.lost_answers,
         partners: &shares,
         over: &over,
     };
@@ -454,7 +455,11 @@
     drains: &[Drain], told: &Tellings,
 ) -> Result<Report, String> {
     let books: Vec<Books> = partners.iter().map(|p| p.2.books()).collect();
-    let Verdict { effects, twice, out_of_order, fell_over, calls, .. } = judge(&books);
+    let Verdict { effects, mut twice, out_of_order, fell_over, calls, .. } = judge(&books);
+    // A notice may take effect as often as it likes.
+    let notices: BTreeSet<&str> =
+        books.iter().flat_map(|b| &b.calls).filter(|c| c.class == "notice").map(|c| c.id.as_str()).collect();
+    twice.retain(|id| !notices.contains(id.as_str()));
     let mut by_forwarder = Vec::new();
     for forwarder in &fleet.forwarders {
         by_forwarder.push(ends(forwarder.listen)?);
@@ -491,6 +496,11 @@
         }
     }
     let waits_broken = books.iter().map(waits_broken).sum();
+    let of_partner = |(partner, books): (&(&str, u32, Partner, usize, &str), &Books)| {
+        let effects = books.calls.iter().filter(|c| matches!(c.fate, Fate::Took | Fate::Swallowed)).count();
+        (partner.0.to_string(), (books.calls.len() as u64, effects as u64))
+    };
+    let by_partner = partners.iter().zip(&books).map(of_partner).collect();
     let breaches = Breaches {
         lost: lost.len() as u64 + doubled,
         twice: twice.len() as u64,
@@ -512,6 +522,7 @@
         effects,
         told_ms: slowest.as_millis() as u64,
         refused_by_partner: books.iter().map(|b| b.waits.len() as u64).sum(),
+        by_partner,
         breaches,
         examples,
         ..Report::default()
--- a/crates/rig/src/story.rs
+++ b/crates/rig/src/story.rs
@@ -24,6 +24,9 @@
     /// Clients turn to another forwarder where theirs does not answer, under the same id.
     #[serde(default)]
     pub elsewhere: bool,
+    /// Share of the answers to clients that get lost on the way, where `elsewhere` is set.
+    #[serde(default)]
+    pub lost_answers: f64,
     /// Faults of all links between forwarders from the start.
     #[serde(default)]
     pub links: Faults,
@@ -106,7 +109,7 @@
 }
 
 /// The stories that come with the program.
-pub const TOLD: [(&str, &str); 9] = [
+pub const TOLD: [(&str, &str); 10] = [
     ("calm", include_str!("../stories/calm.toml")),
     ("loss", include_str!("../stories/loss.toml")),
     ("cut", include_str!("../stories/cut.toml")),
@@ -115,6 +118,7 @@
     ("rejoin", include_str!("../stories/rejoin.toml")),
     ("restart-empty", include_str!("../stories/restart-empty.toml")),
     ("restored-backup", include_str!("../stories/restored-backup.toml")),
+    ("elsewhere", include_str!("../stories/elsewhere.toml")),
     ("clocks", include_str!("../stories/clocks.toml")),
 ];
 
--- a/crates/rig/src/verdict.rs
+++ b/crates/rig/src/verdict.rs
@@ -77,6 +77,9 @@
     pub effects: u64,
     /// Calls that partners turned away with a wait.
     pub refused_by_partner: u64,
+    /// Calls and effects of each partner.
+    #[serde(skip)]
+    pub by_partner: std::collections::BTreeMap<String, (u64, u64)>,
     /// Below so many taken on the play proves nothing.
     pub least: u64,
     /// Some of the messages that broke a rule.
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -203,6 +203,8 @@
     pub ready_within: u64,
     /// Bytes a second that catching up may take.
     pub catch_up: u64,
+    /// Others are told of waits that partners tell.
+    pub share_waits: bool,
     /// The others, in the order of their names.
     pub members: Vec<Member>,
 }
--- a/crates/site/src/peers.rs
+++ b/crates/site/src/peers.rs
@@ -1,7 +1,7 @@
 //! `[peers]`: the other forwarders of the site.
 
 use crate::check::{address, check_name, path, DAY, SECOND};
-use crate::fields::{by, within, Fields};
+use crate::fields::{by, within, yes_or_no, Fields};
 use crate::finding::Findings;
 use crate::model::{Member, Peers};
 use crate::units::{size, span};
@@ -37,6 +37,7 @@
         horizon: table.or("horizon", 7 * DAY, found, horizon),
         ready_within: table.or("ready-within", 5 * SECOND, found, ready),
         catch_up: table.or("catch-up", 256 * KIB, found, catch_up),
+        share_waits: table.or("share-waits", false, found, yes_or_no),
         members: Vec::new(),
     };
     for (name, place, mut fields) in table.tables("member", found) {
--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -1,5 +1,6 @@
 //! The list of targets, in discovery's form.
 
+use hatchline::Micros;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -38,6 +39,9 @@
     /// Calls out to its destination at most. Discovery tells none; a site file may.
     #[serde(skip)]
     pub slots: Option<u32>,
+    /// Another forwarder was told to wait there until then. Discovery tells none.
+    #[serde(skip)]
+    pub hold_until: Micros,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- a/src/bin/foldtrack/membership.rs
+++ b/src/bin/foldtrack/membership.rs
@@ -55,6 +55,7 @@
                 state: if state.is_open(endpoint) { ServerState::Active } else { ServerState::Leaving },
                 weight: partner.rate.unwrap_or(0.0),
                 slots: partner.slots,
+                hold_until: 0,
             })
         };
         let servers = state.endpoints().iter().filter_map(line).collect();
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -174,8 +174,11 @@
             self.idle.put(end.target, connection);
         }
         self.open_ahead(end.target);
-        let tries = self.messages.get(&end.number).map(|h| h.tries);
-        let held = tries.is_some();
+        let known = self.messages.get(&end.number).map(|h| (h.tries, h.message.destination));
+        let (tries, held) = (known.map(|(tries, _)| tries), known.is_some());
+        if let Some((until, (_, destination))) = end.wait_until.zip(known) {
+            self.told_to_wait(destination, self.clock.micros(until).saturating_sub(self.clock.now()));
+        }
         if end.over && end.outcome != Outcome::Ok && self.site.is_some() {
             // Withdrawn where it was to go, or refused for good: this attempt has had no effect.
             self.end(end.number, Notice::GivenUp);
--- a/src/bin/foldtrack/node/endings.rs
+++ b/src/bin/foldtrack/node/endings.rs
@@ -33,6 +33,7 @@
         let Some(held) = self.messages.remove(&number) else { return };
         if let Taken::Fresh(reply) = held.taken {
             self.ids.remove(&held.message.id);
+            self.let_go_of_id(&held.message.id);
             let retry_in_ms = if let Notice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
             let answer = match &mut self.site {
                 Some(site) => {
@@ -111,6 +112,7 @@
 
     /// Puts an end among those that this round keeps; see [`Node::commit_ends`].
     fn keep_end(&mut self, number: u64, held: Held, result: EndResult) {
+        self.id_ended(&held.message.id, result);
         let Some(site) = &mut self.site else { return };
         let message = &held.message;
         let class = self.settings.class_names.get(message.class).map_or("", String::as_str);
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -20,20 +20,16 @@
             let _ = reply.send(known);
             return;
         }
-        let message = self.within_memory(message);
-        if !self.targets.knows(message.destination) {
-            // Perhaps its targets are on their way in the list.
-            let _ = reply.send(self.full_answer(message.destination));
-            return;
-        }
-        let full = self.messages.len() >= self.settings.settings.max_held as usize;
-        let kept = if known { 0 } else { self.kept_room };
-        if full || !self.journal.has_room(self.fresh_bytes + message.size() + kept) {
-            let _ = reply.send(self.full_answer(message.destination));
-            return;
+        if let Some((message, reply)) = self.claim(message, known, reply) {
+            self.take_on(message, known, reply);
         }
-        let held = self.messages.len();
-        if let Some(refused) = self.site.as_mut().and_then(|s| s.refuse(&message, held)) {
+    }
+
+    /// Hands a message to the module that nobody else holds.
+    pub(super) fn take_on(&mut self, message: Arc<Message>, known: bool, reply: oneshot::Sender<Answer>) {
+        let message = self.within_memory(message);
+        if let Some(refused) = self.turned_away(&message, known) {
+            self.let_go_of_id(&message.id);
             let _ = reply.send(refused);
             return;
         }
@@ -60,6 +56,21 @@
         self.handle(event);
     }
 
+    /// The answer to a message that there is no room or no endpoint for.
+    fn turned_away(&mut self, message: &Message, known: bool) -> Option<Answer> {
+        if !self.targets.knows(message.destination) {
+            // Perhaps its targets are on their way in the list.
+            return Some(self.full_answer(message.destination));
+        }
+        let full = self.messages.len() >= self.settings.settings.max_held as usize;
+        let kept = if known { 0 } else { self.kept_room };
+        if full || !self.journal.has_room(self.fresh_bytes + message.size() + kept) {
+            return Some(self.full_answer(message.destination));
+        }
+        let held = self.messages.len();
+        self.site.as_mut().and_then(|s| s.refuse(message, held))
+    }
+
     /// A message that was handed back and may have run goes out only while its partner remembers it.
     fn within_memory(&self, message: Arc<Message>) -> Arc<Message> {
         match self.harmless_until(&message.id).map(|until| self.clock.since_unix(until)) {
@@ -136,6 +147,7 @@
             self.record(number, &Record::Over);
             if let Some((held, _)) = self.site.as_mut().and_then(|s| s.pending.remove(&number)) {
                 self.ids.remove(&held.message.id);
+                self.let_go_of_id(&held.message.id);
                 self.site.iter_mut().for_each(|s| s.let_go(&held.message));
             }
             self.notices.remove(number).inspect(|ending| self.ids.remove(&ending.id));
@@ -157,6 +169,7 @@
     pub(super) fn withdraw(&mut self, number: u64) {
         let Some(held) = self.messages.remove(&number) else { return };
         self.ids.remove(&held.message.id);
+        self.let_go_of_id(&held.message.id);
         self.site.iter_mut().for_each(|s| s.let_go(&held.message));
         if let Some(Waiting { attempt, target, .. }) = held.waiting {
             self.outcome(number, attempt, target, Outcome::NotSent, true);
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -213,6 +213,7 @@
     let mut batch = Vec::new();
     node.join_peers(&mut receiver, &mut batch).await;
     node.restore_all(restored);
+    node.recheck_ids();
     if news {
         batch.extend(timeout(FIRST_LIST, receiver.recv()).await.ok().flatten());
     }
@@ -371,6 +372,7 @@
                 },
                 rate: line.weight,
                 slots: line.slots,
+                hold_until: line.hold_until,
             });
         }
         if kind != ListKind::Delta {
--- a/src/bin/foldtrack/node/peers.rs
+++ b/src/bin/foldtrack/node/peers.rs
@@ -2,21 +2,32 @@
 //! facts is brought about here, by the same orders that an operator gives.
 
 use super::Node;
-use crate::door::{Ask, Input};
+use crate::door::{Answer, Ask, Input};
+use crate::list::ServerList;
+use crate::message::Message;
 use crate::peers::Hands;
 use foldtrack_control::{Done, Error, Peer, Peers as Shown, SiteState, Statement};
+use foldtrack_ends::Result as EndResult;
 use foldtrack_membership::{Change, EndpointState, Order, Trouble};
+use foldtrack_peers::claims::{key, Effect, Key, Status, Verdict, Word as EndWord};
 use foldtrack_peers::fact::{Aspect, Fact, Subject, Word};
 use foldtrack_peers::ledger::Presence;
 use foldtrack_peers::orders::{Refusal, Settled};
 use foldtrack_peers::{Output, Peers};
 use hatchline::ListKind;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
 
+/// Part of a hold that is added to it at the most.
+const HOLD_SPREAD: f64 = 0.25;
+/// What a client is told whose message is being claimed on another connection.
+const CLAIMING_WAIT_MS: u64 = 300;
+/// Ends that are read at once, at a start.
+const ENDS_AT_ONCE: usize = 500;
 /// Statements in one answer at most.
 const STATEMENTS: usize = 4_000;
 
@@ -26,6 +37,15 @@
     hands: Hands,
     orders: HashMap<u64, Pending>,
     next_order: u64,
+    /// Messages whose ids are being claimed, and their clients.
+    claiming: HashMap<Key, Claiming>,
+}
+
+/// A message that has been handed in, and is not taken on before its id is this forwarder's.
+struct Claiming {
+    message: Arc<Message>,
+    known: bool,
+    reply: oneshot::Sender<Answer>,
 }
 
 /// An order whose operator waits.
@@ -37,7 +57,7 @@
 
 impl Side {
     pub fn new(peers: Peers, hands: Hands) -> Box<Side> {
-        Box::new(Side { peers, hands, orders: HashMap::new(), next_order: 1 })
+        Box::new(Side { peers, hands, orders: HashMap::new(), next_order: 1, claiming: HashMap::new() })
     }
 }
 
@@ -189,6 +209,12 @@
                 Output::Send(to, bytes) => side.hands.send(to, &bytes),
                 Output::Keep(ticket, records) => side.hands.keep(ticket, records),
                 Output::Changed(subject) => self.project(&subject),
+                Output::KeepClaims(records) => {
+                    let (peers, hands) = (&side.peers, &mut side.hands);
+                    hands.keep_claims(&records, || peers.standing_claims());
+                }
+                Output::Hold(partner, until) => self.hold(partner, until * 1000),
+                Output::Claim(key, verdict) => self.claimed(key, verdict),
                 Output::Aside(fact) => self.lay_aside(&fact),
                 Output::Settled(number, result) => self.settled(number, result),
                 Output::Event(event) => side.hands.tell(event.kind, &event.text),
@@ -340,6 +366,132 @@
         }
     }
 
+    /// A partner has told this forwarder to wait for so long.
+    pub(super) fn told_to_wait(&mut self, partner: u32, wait: hatchline::Micros) {
+        let now = self.ms();
+        if let Some(side) = self.peers.as_mut().filter(|_| wait > 0) {
+            side.peers.told_to_wait(now, partner, wait / 1000);
+        }
+    }
+
+    /// Nothing goes to a partner until then: it has told another forwarder to wait. A little longer by chance, so that not all
+    /// of them come back at once.
+    fn hold(&mut self, partner: u32, until: hatchline::Micros) {
+        let span = until.saturating_sub(self.clock.now());
+        let until = until + (span as f64 * HOLD_SPREAD * fastrand::f64()) as hatchline::Micros;
+        let mut lines = self.membership.known().servers;
+        lines.retain(|line| line.cell == partner);
+        lines.iter_mut().for_each(|line| line.hold_until = until);
+        let list = ServerList { servers: lines, ..ServerList::default() };
+        self.list(list, ListKind::Delta);
+    }
+
+    /// Claims the id of a message that must not be repeated at will. The rest of handing it in comes once it is this
+    /// forwarder's; gives back what needs no claim.
+    pub(super) fn claim(
+        &mut self, message: Arc<Message>, known: bool, reply: oneshot::Sender<Answer>,
+    ) -> Option<(Arc<Message>, oneshot::Sender<Answer>)> {
+        let now = self.ms();
+        let class = &self.settings.settings.classes[message.class];
+        let effect = match class.effect {
+            hatchline::Effect::Repeatable => return Some((message, reply)),
+            hatchline::Effect::Keyed => Effect::Keyed(class.window / 1000),
+            hatchline::Effect::Unsafe => Effect::Once(class.deadline / 1000),
+        };
+        let Some(side) = &mut self.peers else { return Some((message, reply)) };
+        let id = key(&message.id);
+        if side.claiming.contains_key(&id) {
+            // Handed in on two connections at once: the other one is answered by what comes of it.
+            let _ = reply.send(Answer::Refused { retry_in_ms: CLAIMING_WAIT_MS });
+            return None;
+        }
+        side.claiming.insert(id, Claiming { message, known, reply });
+        side.peers.claim(now, id, effect);
+        None
+    }
+
+    /// What has come of a claim.
+    fn claimed(&mut self, id: Key, verdict: Verdict) {
+        let Some(claiming) = self.peers.as_mut().and_then(|s| s.claiming.remove(&id)) else { return };
+        let Claiming { message, known, reply } = claiming;
+        let answer = match verdict {
+            Verdict::Granted(left) => {
+                let expires = self.clock.now() + 1000 * left;
+                let message = if left > 0 && expires < message.expires {
+                    Arc::new(Message { expires, ..Message::clone(&message) })
+                } else {
+                    message
+                };
+                return self.take_on(message, known, reply);
+            }
+            Verdict::Held | Verdict::Delivered => Answer::Known { over: false },
+            Verdict::Over => Answer::Known { over: true },
+            Verdict::Later(wait) => match &mut self.site {
+                Some(site) => site.full(wait),
+                None => Answer::Refused { retry_in_ms: wait },
+            },
+        };
+        // Its client may have gone.
+        let _ = reply.send(answer);
+    }
+
+    /// A message was not taken on after all: its client may hand it in anywhere.
+    pub(super) fn let_go_of_id(&mut self, id: &str) {
+        self.tell_end(id, EndWord::Back(0));
+    }
+
+    /// A message has ended.
+    pub(super) fn id_ended(&mut self, id: &str, result: EndResult) {
+        if self.peers.is_none() {
+            return;
+        }
+        let word = self.end_word(result);
+        self.tell_end(id, word);
+    }
+
+    fn end_word(&self, result: EndResult) -> EndWord {
+        match result {
+            EndResult::Delivered => EndWord::Delivered,
+            EndResult::GivenUp | EndResult::InDoubt => EndWord::Over,
+            EndResult::HandedBack { .. } => EndWord::Back(0),
+            EndResult::HandedBackUntil { until, .. } => {
+                // 0 stands for without bound.
+                EndWord::Back((until.saturating_sub(self.clock.unix(self.clock.now())) / 1000).max(1))
+            }
+        }
+    }
+
+    fn tell_end(&mut self, id: &str, word: EndWord) {
+        let now = self.ms();
+        if let Some(side) = &mut self.peers {
+            side.peers.ended(now, key(id), word);
+        }
+    }
+
+    /// After a start: whatever others believe this forwarder to hold, and what it truly has.
+    pub(super) fn recheck_ids(&mut self) {
+        if self.peers.is_none() {
+            return;
+        }
+        let held: HashSet<Key> = self.messages.values().map(|h| key(&h.message.id)).collect();
+        let mut ended: HashMap<Key, EndWord> = HashMap::new();
+        let mut cursor = 0;
+        while let Some(fetched) = self.site.as_mut().and_then(|s| s.ends.fetch(cursor, ENDS_AT_ONCE).ok()) {
+            if fetched.ends.is_empty() || fetched.cursor <= cursor {
+                break;
+            }
+            cursor = fetched.cursor;
+            ended.extend(fetched.ends.iter().map(|(_, end)| (key(&end.id), self.end_word(end.result))));
+        }
+        let now = self.ms();
+        let Some(side) = &mut self.peers else { return };
+        side.peers.recheck(now, |id| match ended.get(&id) {
+            _ if held.contains(&id) => Status::Held,
+            Some(word) => Status::Ended(*word),
+            None => Status::Unknown,
+        });
+    }
+
     /// What people are shown.
     pub(super) fn asked_of_peers(&mut self, ask: Ask) {
         match ask {
--- a/src/bin/foldtrack/peers.rs
+++ b/src/bin/foldtrack/peers.rs
@@ -3,8 +3,9 @@
 
 use crate::blocks::Blocks;
 use crate::door::{Input, Inputs};
+use foldtrack_peers::claims::Kept;
 use foldtrack_peers::seal::{Sealer, LONGEST};
-use foldtrack_peers::store::{Opened, Store};
+use foldtrack_peers::store::{ClaimLog, Opened, OpenedClaims, Store};
 use foldtrack_peers::{Peers, Record, Restored, Settings};
 use foldtrack_site::Peers as Said;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
     sealer: Sealer,
     store: Store,
     restored: Restored,
+    log: ClaimLog,
     blocks: Arc<Blocks>,
 }
 
@@ -40,11 +42,14 @@
         let told = |e: &dyn std::fmt::Display| format!("{}: {e}", said.secret.display());
         let secret = std::fs::read(&said.secret).map_err(|e| told(&e))?;
         let sealer = Sealer::new(secret.trim_ascii()).map_err(|e| told(&e))?;
-        let Opened { store, restored, told } = Store::open(state);
+        let Opened { store, mut restored, told } = Store::open(state);
+        let OpenedClaims { log, kept, whole } = ClaimLog::open(state);
+        // A log without the store's memory of its own is of another folder.
+        (restored.claims, restored.claims_whole) = (kept, whole && restored.memory != 0);
         for line in told {
             eprintln!("peers: {line}");
         }
-        Ok(Setup { said: said.clone(), sealer, store, restored, blocks })
+        Ok(Setup { said: said.clone(), sealer, store, restored, log, blocks })
     }
 
     /// Binds the socket and starts what reads it and what keeps records; gives the module, and the hands that it has.
@@ -73,6 +78,7 @@
             horizon: said.horizon / 1000,
             catch_up: said.catch_up,
             ready_within: said.ready_within / 1000,
+            share_waits: said.share_waits,
             pace: foldtrack_peers::members::Pace::default(),
             seed,
         };
@@ -81,7 +87,17 @@
         let ready = Arc::new(AtomicBool::new(false));
         Ok((
             peers,
-            Hands { socket, addresses, records, waiting, crowded, unkept, ready, blocks: self.blocks },
+            Hands {
+                socket,
+                addresses,
+                records,
+                claims: self.log,
+                waiting,
+                crowded,
+                unkept,
+                ready,
+                blocks: self.blocks,
+            },
         ))
     }
 }
@@ -91,6 +107,7 @@
     socket: Arc<UdpSocket>,
     addresses: Vec<SocketAddr>,
     records: mpsc::Sender<(u64, Vec<Record>)>,
+    claims: ClaimLog,
     waiting: Arc<AtomicUsize>,
     crowded: Arc<AtomicUsize>,
     unkept: Arc<std::sync::Mutex<String>>,
@@ -111,6 +128,13 @@
         let _ = self.records.send((ticket, records));
     }
 
+    /// Writes what has been granted to others, before they hear of it.
+    pub fn keep_claims(&mut self, records: &[Kept], standing: impl FnOnce() -> Vec<Kept>) {
+        if let Err(error) = self.claims.append(records, standing) {
+            eprintln!("peers: who holds which message is not kept, and not known after a restart: {error}");
+        }
+    }
+
     /// A datagram has been taken out of the queue.
     pub fn taken_out(&self) {
         self.waiting.fetch_sub(1, Ordering::Relaxed);
--- a/src/bin/foldtrack/table.rs
+++ b/src/bin/foldtrack/table.rs
@@ -218,6 +218,7 @@
     fn line(id: &str, port: u16, cell: u32, state: ServerState) -> ServerLine {
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
         ServerLine {
+            hold_until: 0,
             id: id.into(),
             addr,
             zone: String::new(),
--- a/src/bin/hatchline-adapter/host.rs
+++ b/src/bin/hatchline-adapter/host.rs
@@ -48,6 +48,7 @@
         state,
         rate: f64::from(entry.size),
         slots: None,
+        hold_until: 0,
     })
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -183,6 +183,9 @@
     /// Calls out to the destination at once at most; none where only the share of all slots binds. The latest line
     /// of a destination counts.
     pub slots: Option<u32>,
+    /// Nothing is to be sent on its way before then: somebody else was told to wait there. 0 for no such thing; a wait that
+    /// is known already is not shortened.
+    pub hold_until: Micros,
 }
 
 /// How a list event relates to the list so far.
--- a/src/listed.rs
+++ b/src/listed.rs
@@ -48,6 +48,7 @@
             if self.s.listed_rate != ListedRate::Unknown && e.rate > 0.0 && !l.reported {
                 l.limit_is(e.rate, self.s.senders, aim);
             }
+            l.wait_until = l.wait_until.max(e.hold_until);
             l.targets.extend(known.is_none().then_some(e.target));
             let fresh = Target { lane, zone: e.zone, ..Target::default() };
             self.targets.entry(e.target).or_insert(fresh).state = e.state;
--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -47,6 +47,7 @@
     one_is_away_for_a_while: "rejoin",
     one_loses_its_folder: "restart-empty",
     one_comes_back_on_an_old_copy_of_its_folder: "restored-backup",
+    forwarders_die_and_their_clients_turn_to_others: "elsewhere",
     clocks_are_hours_apart_and_run_wrong: "clocks",
 }
 
