Read kept ends by one function in the demo and the rig

Seen in the change read once more: crates/rig/src/run.rs had written again what src/bin/foldtrack/cli/demo.rs has, page by page through /v1/ends. The demo calls the rig's now; it peeks, where it acknowledged before.

Checked: the demo's test, lints, release build.

--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -429,8 +429,11 @@
     }
 }
 
-/// Every end that a forwarder keeps: by id, how it ended.
-fn ends(listen: SocketAddr) -> Result<BTreeMap<String, Vec<String>>, String> {
+/// Every end that a forwarder keeps: by id, how it ended, each as often as it was told.
+///
+/// # Errors
+/// They could not be read.
+pub fn ends(listen: SocketAddr) -> Result<BTreeMap<String, Vec<String>>, String> {
     let mut ends: BTreeMap<String, Vec<String>> = BTreeMap::new();
     let mut after = String::new();
     loop {
--- a/src/bin/foldtrack/cli/demo.rs
+++ b/src/bin/foldtrack/cli/demo.rs
@@ -12,8 +12,8 @@
 use foldtrack_standin::books::{judge, Books, Fate};
 use foldtrack_standin::{Conduct, Partner};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{IsTerminal, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::IsTerminal;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::thread::{scope, sleep};
@@ -152,7 +152,7 @@
         shown
     });
     let (status, lines) = shown?;
-    let ends = fetch_ends(listen).map_err(|e| told("the ends", &e))?;
+    let ends = foldtrack_rig::run::ends(listen).map_err(|e| told("the ends", &e))?;
     let books: Vec<(&str, Books)> = partners.iter().map(|(name, p)| (*name, p.books())).collect();
     conclude(&status, &lines, &ends, &books, &sent, start.elapsed())
 }
@@ -235,31 +235,6 @@
     }
 }
 
-/// Every end, by id: how often it came, and as what.
-fn fetch_ends(listen: SocketAddr) -> Result<BTreeMap<String, Vec<String>>, String> {
-    let mut ends: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    let mut after = String::new();
-    loop {
-        let request =
-            format!("GET /v1/ends?wait_ms=0{after} HTTP/1.1\r\nHost: demo\r\nConnection: close\r\n\r\n");
-        let mut stream = TcpStream::connect(listen).map_err(|e| e.to_string())?;
-        stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).map_err(|e| e.to_string())?;
-        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-        let told: serde_json::Value = serde_json::from_str(body).map_err(|e| e.to_string())?;
-        let lines = told["ends"].as_array().cloned().unwrap_or_default();
-        if lines.is_empty() {
-            return Ok(ends);
-        }
-        for line in lines {
-            let word = |name: &str| line[name].as_str().unwrap_or("").to_string();
-            ends.entry(word("id")).or_default().push(word("state"));
-        }
-        after = format!("&after={}", told["cursor"]);
-    }
-}
-
 /// The table at the end: what the forwarder says, and what the partners' books say of it.
 fn conclude(
     status: &Status, partners: &[Shown], ends: &BTreeMap<String, Vec<String>>, books: &[(&str, Books)],
