Look up who holds a claimed id by its key, and drop what nobody calls

Seen in the change read once more: each answer to a claim built the list of all claims under way, with their holders copied, to find one of them (`Claims::to_ask` in machine.rs); `Members::found_within` with its two fields, `Claims::is_asking` and a parameter of the rig's `own_address` had no use.

No behaviour changes.

--- a/crates/peers/src/claims.rs
+++ b/crates/peers/src/claims.rs
@@ -329,11 +329,6 @@
         self.answered(now, self.others, key, turn, answer);
     }
 
-    /// Whether an id is being claimed.
-    pub fn is_asking(&self, key: Key) -> bool {
-        self.asked.contains_key(&key)
-    }
-
     /// A member has answered a claim.
     pub fn answered(&mut self, now: u64, from: usize, key: Key, turn: u64, answer: Answer) {
         let majority = self.majority();
@@ -363,10 +358,10 @@
         }
     }
 
-    /// Claims that another is found to hold: the keys and holders that are to be asked now.
-    pub fn to_ask(&self) -> Vec<(Key, Holder)> {
-        let held = self.asked.iter().filter(|(_, a)| a.over.is_none());
-        held.filter_map(|(key, a)| Some((*key, a.held.clone()?.0))).collect()
+    /// Who else is found to hold an id that is claimed here, and is to be asked for it.
+    pub fn held_by(&self, key: Key) -> Option<&Holder> {
+        let asked = self.asked.get(&key).filter(|a| a.over.is_none())?;
+        asked.held.as_ref().map(|(holder, _)| holder)
     }
 
     /// A holder has answered for a message.
--- a/crates/peers/src/machine.rs
+++ b/crates/peers/src/machine.rs
@@ -257,7 +257,7 @@
             ..Link::default()
         };
         let id = Id { name: settings.name.clone(), start, turn: 0 };
-        let members = Members::new(id, settings.others.len(), settings.pace, random.random());
+        let members = Members::new(id, settings.pace, random.random());
         Peers {
             links: settings.others.iter().map(link).collect(),
             members,
@@ -902,9 +902,7 @@
                 let from = self.holder(link, memory);
                 self.claims.status(self.now, &from, key, status);
                 // With another memory than the one that holds it, nobody can be asked any more.
-                let held = self.claims.to_ask();
-                let other = held.iter().any(|(k, h)| *k == key && h.name == from.name && *h != from);
-                if other {
+                if self.claims.held_by(key).is_some_and(|h| h.name == from.name && *h != from) {
                     self.claims.out_of_reach(self.now, key);
                 }
             }
@@ -1079,7 +1077,7 @@
 
     /// Asks whoever holds an id that is claimed here for what has become of it.
     fn ask_holder(&mut self, key: Key) {
-        let Some((_, holder)) = self.claims.to_ask().into_iter().find(|(k, _)| *k == key) else { return };
+        let Some(holder) = self.claims.held_by(key) else { return };
         let link = self.links.iter().position(|l| l.name == holder.name);
         match link {
             Some(link) if self.links[link].present.is_some() => self.send(link, &[Message::Whose(key)]),
--- a/crates/peers/src/members.rs
+++ b/crates/peers/src/members.rs
@@ -129,8 +129,6 @@
     foca: Foca<Id, PostcardCodec, SmallRng, NoCustomBroadcast>,
     timers: BTreeMap<(u64, u64), Timer<Id>>,
     next: u64,
-    pace: Pace,
-    count: usize,
     /// Each that has been heard of, with its standing and since when, as of the last look.
     looked: u64,
     standings: BTreeMap<String, (Standing, u64)>,
@@ -166,11 +164,11 @@
 }
 
 impl Members {
-    /// A forwarder that has just come up beside `others`.
-    pub fn new(id: Id, others: usize, pace: Pace, seed: u64) -> Members {
+    /// A forwarder that has just come up.
+    pub fn new(id: Id, pace: Pace, seed: u64) -> Members {
         let foca = Foca::new(id, config(pace), SmallRng::seed_from_u64(seed), PostcardCodec);
         let (timers, standings) = (BTreeMap::new(), BTreeMap::new());
-        Members { foca, timers, next: 0, pace, count: others, looked: 0, standings }
+        Members { foca, timers, next: 0, looked: 0, standings }
     }
 
     fn work(
@@ -259,10 +257,4 @@
     pub fn standing(&self, name: &str) -> (Standing, u64) {
         self.standings.get(name).copied().unwrap_or((Standing::Unknown, 0))
     }
-
-    /// How long it takes at most until one that is gone is found to be, in the ordinary course: a round of probes, and the
-    /// time to object.
-    pub fn found_within(&self) -> u64 {
-        self.pace.probe_every * (self.count as u64 + 1) + self.pace.suspect_for
-    }
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -83,11 +83,10 @@
 }
 
 /// A port of a host that no other fleet uses.
-fn own_address(place: usize) -> io::Result<SocketAddr> {
+fn own_address() -> io::Result<SocketAddr> {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
     let host = NEXT.fetch_add(1, Ordering::Relaxed) % 250 + 1;
     let part = std::process::id() as usize % 250;
-    let _ = place;
     TcpListener::bind(format!("127.81.{part}.{host}:0"))?.local_addr()
 }
 
@@ -117,8 +116,8 @@
         fs::write(folder.path().join("secret"), format!("{:032x}", seed ^ 0x5eed)).map_err(told)?;
         let names: Vec<String> = (0..plan.forwarders).map(forwarder).collect();
         let mut listens = Vec::new();
-        for place in 0..names.len() {
-            listens.push((own_address(place).map_err(told)?, own_address(place).map_err(told)?));
+        for _ in &names {
+            listens.push((own_address().map_err(told)?, own_address().map_err(told)?));
         }
         let mut forwarders = Vec::new();
         for (n, name) in names.iter().enumerate() {
