Emulate fleets in simulated time: the module and plain policies on the same seeds

Found by it: a keyed message that may have run, handed back, took effect twice when its client came again 8 s later ('call ... sent ... effect: true', 'call ... sent ... effect: true' with a window of 5 s); a site tells clients until when that is harmless, and the emulator's clients keep to it.

--- a/src/bin/foldtrack/cli/mod.rs
+++ b/src/bin/foldtrack/cli/mod.rs
@@ -2,6 +2,7 @@
 //! runs on the state folder, 4 the order was refused.
 
 mod demo;
+mod emulate;
 mod ends;
 mod fleet;
 mod journal;
@@ -201,6 +202,8 @@
     /// Several forwarders as processes, with faults between them
     #[command(subcommand)]
     Fleet(fleet::Fleet),
+    /// Plays a fleet in simulated time: the program's own decisions and plain ones, on the same seeds
+    Emulate(emulate::Emulate),
     /// The other forwarders of the site, and how they stand
     Peers(Asked),
     /// What was ordered on the site
@@ -344,6 +347,7 @@
         Command::Demo(words) => demo::demo(&words),
         Command::Load(words) => load::load(&words),
         Command::Fleet(words) => fleet::fleet(&words),
+        Command::Emulate(words) => emulate::emulate(&words),
         Command::Peers(asked) => asked.show(Ask::Peers),
         Command::State(words) => peers::state(&words),
         Command::Stop(asked) => orders::stop(&asked),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod answers;
 mod brain;
+pub mod emulated;
 mod estimate;
 mod evidence;
 pub mod interface;
