Take a single refusal for a limit only where one is known or was met

A trace by 200 ms ('0.20 pace 1.2 window 4 calls 0', '3.00 pace 1.1 window 1', '14.40 pace 2.2'): the first refusal comes before anything is known of the rate, sets the pace to 0.7 to 1.2 a second, and from there it grows by 5% for each served call, of which there is one a second.

Ruled out: the pauses after refusals (milliseconds), the window (halved, and back with each answer), the verdict 'out' (comes late in the play, by what waits).

At fault: judge, Outcome::Full. A pace now begins where a limit is known (list or answers), a wait is told, a pace is there, or a second refusal follows the first; and it begins at what half the window gives.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -476,9 +476,10 @@
                     // Many senders that keep to their parts need not stay away for long besides.
                     l.refused_in_fleet(2.0 - jitter);
                 } else {
-                    if due {
-                        // Never under what is being served: that much there is room for.
-                        let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { SECOND / half_aim };
+                    if due && (l.full_run > 1 || l.pace + l.limit + end.wait as f64 > 0.0) {
+                        // One alone is no limit yet where none is known. Never under what is being served.
+                        let first = l.window * SECOND / l.times.mean().max(1e3);
+                        let down = if l.pace > 0.0 { l.pace * PACE_DOWN } else { first };
                         l.pace = down.max(l.rate).max(least_pace);
                     }
                     let more = (jitter - 1.0) * gap.max(spread * run).min(even) - half_aim;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -191,3 +191,21 @@
         }
     }
 }
+
+/// A partner without a limit that refuses one call of ten at random is a failing partner, not a full one. Each refusal cut the pace
+/// as if a limit had been met, from the first seconds on: of 400 messages a second 2 went in time.
+#[test]
+fn refusals_that_come_at_any_pace_do_not_slow_a_forwarder_down() {
+    for refuses in [0.03, 0.10] {
+        let text = format!(
+            "about = \"\"\n[fleet]\nforwarders = 1\nslots = 64\nheld = 4000\nattempts = 8\nlasts = \"15s\"\nway = [\"100us\", \"300us\"]\n\
+             [traffic]\nrate = 400.0\n[[class]]\nname = \"c\"\nshare = 1.0\naim = \"3s\"\ndeadline = \"12s\"\nworth = 1.0\nlate = 0.5\n\
+             effect = \"repeatable\"\n[[partner]]\nname = \"p\"\nshare = 1.0\ntakes = [\"5ms\", \"20ms\"]\nrefuses = {refuses:?}\n"
+        );
+        for seed in 1..=3 {
+            let figures = foldtrack_emulator::play::play(&World::read(&text).unwrap(), &Modules, seed);
+            let in_time = figures.in_time as f64 / figures.messages as f64;
+            assert!(in_time > 0.95 && figures.is_clean(), "{refuses}, seed {seed}: {in_time}");
+        }
+    }
+}
