Read once more: one way to state orders, to keep blocks, to draw by weights; dead counts go

An order about a member and one about a network were stated by two like functions (state_among_peers now serves both); block and unblock repeated hold and lift, the list of clients repeated standing, keep had a second name for the sake of its lock. What is over was matched twice in claims.rs (Entry::over). The emulator had a parser of spans of its own where the rig and the site use humantime, drew by weights in two places, matched ends that may have run in two, built all classes anew for each message, and kept three counts that nobody read. A forwarder that loses its folder is World::lose in the tests.

Checked: lints of all targets, tests of the emulator and peers packages, tests/fleet, the program's own, and six of tests/peers on real processes (blocks, cuts, old folder, off without [peers]).

--- a/crates/emulator/src/baselines.rs
+++ b/crates/emulator/src/baselines.rs
@@ -127,11 +127,10 @@
                 _ => {}
             }
         }
-        let may_run = matches!(ending, Ending::Failed | Ending::TimedOut | Ending::Reset);
-        if may_run && message.key > 0 {
-            self.keys.insert(message.key, now + REST);
-        }
-        if may_run {
+        if ending.may_have_run() {
+            if message.key > 0 {
+                self.keys.insert(message.key, now + REST);
+            }
             // It left earlier; its window counts from then, at the latest from its time-out.
             message.ran.get_or_insert(now.saturating_sub(TIME_OUT));
         }
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::world::{What, World};
 use crate::{Micros, SECOND};
 use rand::rngs::SmallRng;
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, StandardNormal};
 
 /// A message before anybody has it.
@@ -17,7 +17,7 @@
 }
 
 /// Draws one of several by their weights.
-fn draw(random: &mut SmallRng, sums: &[f64]) -> usize {
+pub fn draw(random: &mut SmallRng, sums: &[f64]) -> usize {
     let at = random.random::<f64>() * sums.last().copied().unwrap_or(1.0);
     sums.partition_point(|sum| *sum <= at).min(sums.len().saturating_sub(1))
 }
@@ -38,23 +38,23 @@
         let normal: f64 = StandardNormal.sample(random);
         (uneven * normal).exp()
     };
-    sums((0..world.fleet.forwarders).map(|_| weight()).collect::<Vec<_>>().into_iter())
+    sums((0..world.fleet.forwarders).map(|_| weight()))
 }
 
 /// All messages of a play, in the order in which they come.
 pub fn coming(world: &World, parts: &[f64], random: &mut SmallRng) -> Vec<Coming> {
     let traffic = &world.traffic;
-    let classes = sums(world.classes().iter().map(|c| c.share).collect::<Vec<_>>().into_iter());
+    let classes = world.classes();
+    let shares = sums(classes.iter().map(|c| c.share));
     let partners = sums(world.partners.iter().map(|p| p.share));
     let mut all = Vec::new();
     let mut one = |random: &mut SmallRng, at: Micros, partner: usize| {
-        let class = draw(random, &classes);
-        let key =
-            if world.classes()[class].in_order { 1 + random.random_range(0..traffic.keys.max(1)) } else { 0 };
+        let class = draw(random, &shares);
+        let key = if classes[class].in_order { 1 + random.random_range(0..traffic.keys.max(1)) } else { 0 };
         let forwarder = match key {
             0 => draw(random, parts),
             // Those of one key come to one forwarder.
-            key => draw(&mut seeded(key), parts),
+            key => draw(&mut SmallRng::seed_from_u64(key), parts),
         };
         all.push(Coming { at, forwarder, class, partner, key });
     };
@@ -84,11 +84,6 @@
     all
 }
 
-fn seeded(key: u64) -> SmallRng {
-    use rand::SeedableRng;
-    SmallRng::seed_from_u64(key)
-}
-
 /// Points in time at a rate, at random (Poisson).
 fn arrivals(random: &mut SmallRng, rate: f64, until: Micros) -> Vec<Micros> {
     let Ok(pause) = Exp::new(rate / SECOND as f64) else { return Vec::new() };
--- a/crates/emulator/src/figures.rs
+++ b/crates/emulator/src/figures.rs
@@ -63,8 +63,6 @@
     pub took: Histogram<u64>,
     /// Rules broken.
     pub breaches: Breaches,
-    /// Events played.
-    pub events: u64,
 }
 
 /// Longest span that a histogram tells apart.
@@ -90,7 +88,6 @@
             first: histogram(),
             took: histogram(),
             breaches: Breaches::default(),
-            events: 0,
         }
     }
 
--- a/crates/emulator/src/partner.rs
+++ b/crates/emulator/src/partner.rs
@@ -62,10 +62,6 @@
     lately: VecDeque<Micros>,
     /// How often it was pushed over.
     pub pushed_over: u64,
-    /// Calls that came, and those that were refused for the limit or the queue.
-    pub came: u64,
-    /// See `came`.
-    pub full: u64,
 }
 
 impl<'a> Partner<'a> {
@@ -90,8 +86,6 @@
             out: false,
             lately: VecDeque::new(),
             pushed_over: 0,
-            came: 0,
-            full: 0,
         }
     }
 
@@ -179,7 +173,6 @@
 
     /// A call arrives at an endpoint.
     pub fn takes(&mut self, now: Micros, endpoint: usize) -> Taken {
-        self.came += 1;
         let out = self.world.trouble(now, What::Out, &self.line.name).is_some();
         if self.out && !out {
             (self.back, self.down_until) = (Some(now), 0);
@@ -204,7 +197,6 @@
         }
         let full = busy.len() >= (self.line.servers + self.line.queue) as usize;
         if !room || full {
-            self.full += 1;
             let wait = if room { 0 } else { self.told_wait(now) };
             return Taken { ending: Some(Ending::Full), at: now, wait, told, effect: false };
         }
--- a/crates/emulator/src/play.rs
+++ b/crates/emulator/src/play.rs
@@ -166,7 +166,6 @@
                 return;
             }
             self.now = time;
-            self.figures.events += 1;
             match what {
                 Happening::List(forwarder) => self.list(forwarder),
                 Happening::Comes(origin) => {
@@ -258,10 +257,7 @@
             return;
         }
         let forwarder = match coming.key {
-            0 => {
-                let at = self.random.random::<f64>() * self.parts.last().copied().unwrap_or(1.0);
-                self.parts.partition_point(|sum| *sum <= at).min(self.parts.len() - 1)
-            }
+            0 => clients::draw(&mut self.random, &self.parts),
             _ => coming.forwarder,
         };
         self.at(self.now + pause, Happening::Again { origin, forwarder });
@@ -401,7 +397,7 @@
             let until = &mut self.forwarders[forwarder].waits[partner];
             *until = (*until).max(self.now + wait);
         }
-        if matches!(ending, Ending::Failed | Ending::TimedOut | Ending::Reset) {
+        if ending.may_have_run() {
             self.messages[message].ran.get_or_insert(sent);
         }
         if ending == Ending::Done && !self.messages[message].over {
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -96,6 +96,13 @@
     NotSent,
 }
 
+impl Ending {
+    /// Whether the message may have taken effect without this forwarder's knowing.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Ending::Failed | Ending::TimedOut | Ending::Reset)
+    }
+}
+
 /// What an answer tells of the partner's limit; some time old.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Told {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -12,20 +12,8 @@
 
 fn span<'de, D: Deserializer<'de>>(from: D) -> Result<Micros, D::Error> {
     let text = String::deserialize(from)?;
-    let digits = text.find(|c: char| c != '.' && !c.is_ascii_digit()).unwrap_or(text.len());
-    let (number, unit) = text.split_at(digits);
-    let scale = match unit {
-        "s" => 1e6,
-        "ms" => 1e3,
-        "us" => 1.0,
-        _ => {
-            return Err(de::Error::custom(format!(
-                "{text:?} is no span; one is \"3s\", \"250ms\" or \"40us\""
-            )))
-        }
-    };
-    let number: f64 = number.parse().map_err(|_| de::Error::custom(format!("{text:?} is no span")))?;
-    Ok((number * scale) as Micros)
+    let told = |_| de::Error::custom(format!("{text:?} is no span; one is \"3s\", \"250ms\" or \"40us\""));
+    humantime::parse_duration(&text).map_err(told).map(|span| span.as_micros() as Micros)
 }
 
 fn spans<'de, D: Deserializer<'de>>(from: D) -> Result<(Micros, Micros), D::Error> {
--- a/crates/peers/src/claims.rs
+++ b/crates/peers/src/claims.rs
@@ -162,6 +162,17 @@
     asked: Option<Box<[usize]>>,
 }
 
+impl Entry {
+    /// What is answered where it must not, or need not, be handed in any more.
+    fn over(&self) -> Option<Answer> {
+        match self.end {
+            Some((Word::Delivered, _)) => Some(Answer::Ended(false)),
+            Some((Word::Over, _)) => Some(Answer::Ended(true)),
+            Some((Word::Back(_), _)) | None => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Asked {
     effect: Effect,
@@ -319,14 +330,10 @@
 
     /// What a member says that may have lost what it granted: what it knows of others, and nothing that counts.
     fn unsure(&self, now: u64, from: &Holder, key: Key) -> Answer {
-        match self.known.get(&key) {
-            Some(Entry { end: Some((Word::Delivered, _)), .. }) => Answer::Ended(false),
-            Some(Entry { end: Some((Word::Over, _)), .. }) => Answer::Ended(true),
-            Some(Entry { end: None, holder, since, .. }) if holder != from => {
-                Answer::Held(holder.clone(), now.saturating_sub(*since))
-            }
-            _ => Answer::Unsure,
-        }
+        let Some(entry) = self.known.get(&key) else { return Answer::Unsure };
+        let held = entry.end.is_none() && entry.holder != *from;
+        let held = held.then(|| Answer::Held(entry.holder.clone(), now.saturating_sub(entry.since)));
+        entry.over().or(held).unwrap_or(Answer::Unsure)
     }
 
     /// Another member's claim.
@@ -343,18 +350,16 @@
             // Late: it has been given back since.
             return Answer::Unsure;
         }
-        match entry.end {
-            Some((Word::Delivered, _)) => return Answer::Ended(false),
-            Some((Word::Over, _)) => return Answer::Ended(true),
-            Some((Word::Back(span), at)) => {
-                let left = if span == 0 { 0 } else { span.saturating_sub(now - at) };
-                if span > 0 && left == 0 {
-                    return Answer::Ended(true);
-                }
-                self.put(now, claim.key, from.clone(), claim.turn);
-                return Answer::Yours(left);
+        if let Some(answer) = entry.over() {
+            return answer;
+        }
+        if let Some((Word::Back(span), at)) = entry.end {
+            let left = if span == 0 { 0 } else { span.saturating_sub(now - at) };
+            if span > 0 && left == 0 {
+                return Answer::Ended(true);
             }
-            None => {}
+            self.put(now, claim.key, from.clone(), claim.turn);
+            return Answer::Yours(left);
         }
         if again {
             if claim.turn > entry.turn {
--- a/crates/peers/tests/cluster.rs
+++ b/crates/peers/tests/cluster.rs
@@ -80,8 +80,7 @@
         let order = world.close(0, "e");
         let Ok(settled) = world.settled(0, order) else { panic!("refused") };
         assert!(settled.copies >= 1, "seed {seed}");
-        world.kill(0);
-        world.nodes[0].disk = Default::default();
+        world.lose(0);
         world.run(4_000);
         world.start(0);
         world.until(20_000, |w| (0..3).all(|n| w.closed(n, "e"))).expect("all keep it");
@@ -317,8 +316,7 @@
         world.run(2);
     }
     world.run(2_000);
-    world.kill(1);
-    world.nodes[1].disk = Default::default();
+    world.lose(1);
     world.catch_up = 16 << 10;
     world.kill(0);
     world.start(0);
@@ -340,8 +338,7 @@
         world.run(2);
     }
     world.until(10_000, World::agree).unwrap();
-    world.kill(2);
-    world.nodes[2].disk = Default::default();
+    world.lose(2);
     world.catch_up = 16 << 10;
     // The others keep to their share of bytes from their next start on.
     for n in 0..2 {
@@ -414,8 +411,7 @@
     world.run(100);
     world.kill(0);
     world.run(10_000);
-    world.kill(2);
-    world.nodes[2].disk = Default::default();
+    world.lose(2);
     world.start(2);
     world.run(3_000);
     assert!(closed(&world, 1) && closed(&world, 2));
@@ -543,8 +539,7 @@
                 Step::Start(n) if world.nodes[n].peers.is_none() => world.start(n),
                 Step::Lose(n) if !lost => {
                     lost = true;
-                    world.kill(n);
-                    world.nodes[n].disk = Default::default();
+                    world.lose(n);
                 }
                 Step::Wait(span) => world.run(u64::from(span)),
                 _ => {}
--- a/crates/peers/tests/ids.rs
+++ b/crates/peers/tests/ids.rs
@@ -81,8 +81,7 @@
     let mut world = World::started(3, 3);
     assert_eq!(world.claim(0, "pay", ONCE), Verdict::Granted(0));
     world.run(100);
-    world.kill(0);
-    world.nodes[0].disk = Default::default();
+    world.lose(0);
     world.start(0);
     world.run(3_000);
     assert!(matches!(world.claim(0, "pay", ONCE), Verdict::Later(_)));
--- a/crates/peers/tests/world/mod.rs
+++ b/crates/peers/tests/world/mod.rs
@@ -360,6 +360,12 @@
         self.nodes[n].settled[&order].1.clone()
     }
 
+    /// It is killed, and its folder is lost.
+    pub fn lose(&mut self, n: usize) {
+        self.kill(n);
+        self.nodes[n].disk = Disk::default();
+    }
+
     /// What it had let in goes with its machine.
     pub fn lose_claims(&mut self, n: usize) {
         let disk = &mut self.nodes[n].disk;
--- a/src/bin/foldtrack/blocks.rs
+++ b/src/bin/foldtrack/blocks.rs
@@ -103,9 +103,8 @@
     /// # Errors
     /// There are too many, or it could not be kept: then it holds, but may not outlive the process.
     pub fn block(&self, network: IpNet, for_ms: u64) -> Result<(), String> {
-        let until = self.places.clock().now() + for_ms.min(LONGEST_MS) * 1000;
-        self.places.block(network, until)?;
-        self.keep_now().map_err(|e| {
+        self.hold(network, for_ms)?;
+        self.keep().map_err(|e| {
             format!("the block holds, but may not outlive the process: {}: {e}", self.path.display())
         })
     }
@@ -134,7 +133,7 @@
     pub fn keep_later(self: &Arc<Blocks>) {
         let blocks = self.clone();
         tokio::task::spawn_blocking(move || {
-            if let Err(e) = blocks.keep_now() {
+            if let Err(e) = blocks.keep() {
                 eprintln!(
                     "peers: a block holds, but may not outlive the process: {}: {e}",
                     blocks.path.display()
@@ -148,21 +147,17 @@
     /// # Errors
     /// It could not be kept.
     pub fn unblock(&self, network: &IpNet) -> Result<bool, String> {
-        let was = self.places.unblock(network);
-        let kept = self.keep_now();
+        let was = self.lift(network);
+        let kept = self.keep();
         kept.map(|()| was).map_err(|e| {
             format!("it holds no more, but may come back with a restart: {}: {e}", self.path.display())
         })
     }
 
-    fn keep_now(&self) -> io::Result<()> {
-        let _one = locked(&self.keeping);
-        self.keep()
-    }
-
     /// Writes all that stands into a new file and puts it in the old one's place: whole or not at all, also when the power
     /// goes.
     fn keep(&self) -> io::Result<()> {
+        let _one = locked(&self.keeping);
         let clock = self.places.clock();
         let now = clock.now();
         let standing = self.places.blocks().into_iter().filter(|(_, until)| *until > now);
@@ -250,8 +245,6 @@
 
     /// What there is to see of clients: the busiest addresses, at most so many.
     pub fn clients(&self, most: usize) -> Clients {
-        let clock = self.places.clock();
-        let now = clock.now();
         let client = |seen: foldtrack_admission::Seen| ClientLine {
             address: seen.address.to_string(),
             known: match (seen.named, seen.known) {
@@ -278,10 +271,10 @@
                 most: most as u32,
             })
             .collect();
-        let blocks = self.places.blocks().into_iter().filter(|(_, until)| *until > now);
+        let blocks = self.standing().into_iter();
         Clients {
             clients: self.places.seen(most).into_iter().map(client).collect(),
-            blocks: blocks.map(|(network, until)| (network.to_string(), (until - now) / 1000)).collect(),
+            blocks: blocks.map(|(network, left)| (network.to_string(), left)).collect(),
             floods: locked(&self.floods).clone(),
             descriptors,
             lingering: self.places.lingering() as u32,
--- a/src/bin/foldtrack/node/peers.rs
+++ b/src/bin/foldtrack/node/peers.rs
@@ -237,7 +237,6 @@
     /// An order of an operator. What makes things safer holds at once; the opposite once a majority has told what it knows.
     /// The answer comes when it is kept here and at another, or when that has been waited for long enough.
     pub(super) fn order_among_peers(&mut self, order: Order, reply: oneshot::Sender<Result<Done, Error>>) {
-        let (now, at) = (self.ms(), self.clock.unix(self.clock.now()));
         let judged = self.membership.judge(&order);
         let change = match judged {
             Ok(change) => change,
@@ -247,26 +246,36 @@
             return drop(reply.send(Ok(self.done(&order, change))));
         }
         let (subject, word) = stated(&order);
+        self.state_among_peers(subject, word, Some((order, change)), reply);
+    }
+
+    /// States a word for an operator who waits; `order` is none for one about a network, which is no member's.
+    fn state_among_peers(
+        &mut self, subject: Subject, word: Word, order: Option<(Order, Change)>,
+        reply: oneshot::Sender<Result<Done, Error>>,
+    ) {
+        let (now, at) = (self.ms(), self.clock.unix(self.clock.now()));
         let Some(side) = &mut self.peers else { return };
         let number = side.next_order;
         side.next_order += 1;
-        if !word.is_safer() {
+        let stated = if word.is_safer() {
+            side.peers.close(now, number, at, subject, word).map(drop)
+        } else {
             side.peers.open(now, number, at, subject, word);
-            side.orders.insert(number, Pending { order: Some((order, change)), reply });
-            return self.step_peers();
-        }
-        match side.peers.close(now, number, at, subject, word) {
-            Ok(_) => {
-                side.orders.insert(number, Pending { order: Some((order, change)), reply });
+            Ok(())
+        };
+        match stated {
+            Ok(()) => {
+                side.orders.insert(number, Pending { order, reply });
                 self.step_peers();
             }
             // Here it holds all the same: nothing must go where an operator has said that nothing goes.
             Err(refusal) => {
-                self.carry_out_order(&order);
-                drop(reply.send(Err(Error {
-                    text: format!("it holds at this forwarder alone: {refusal}"),
-                    ..refused(&refusal)
-                })));
+                if let Some((order, _)) = &order {
+                    self.carry_out_order(order);
+                }
+                let text = format!("it holds at this forwarder alone: {refusal}");
+                drop(reply.send(Err(Error { text, ..refused(&refusal) })));
             }
         }
     }
@@ -275,31 +284,16 @@
     pub(super) fn network_among_peers(
         &mut self, network: String, for_ms: Option<u64>, reply: oneshot::Sender<Result<Done, Error>>,
     ) {
-        let (now, at) = (self.ms(), self.clock.unix(self.clock.now()));
-        let Some(side) = &mut self.peers else { return drop(reply.send(Ok(Done::default()))) };
-        let number = side.next_order;
-        side.next_order += 1;
+        let Some(side) = &self.peers else { return drop(reply.send(Ok(Done::default()))) };
         let subject = Subject::Network(network);
-        let stated = match for_ms {
-            Some(for_ms) => side.peers.close(now, number, at, subject, Word::Close { for_ms }).map(drop),
+        let word = match for_ms {
+            Some(for_ms) => Word::Close { for_ms },
             None if side.peers.verdict(&subject).closed.is_none() => {
                 return drop(reply.send(Ok(Done::default())));
             }
-            None => {
-                side.peers.open(now, number, at, subject, Word::Open);
-                Ok(())
-            }
+            None => Word::Open,
         };
-        match stated {
-            Ok(()) => {
-                side.orders.insert(number, Pending { order: None, reply });
-                self.step_peers();
-            }
-            Err(refusal) => {
-                let text = format!("it holds at this forwarder alone: {refusal}");
-                drop(reply.send(Err(Error { text, ..refused(&refusal) })));
-            }
-        }
+        self.state_among_peers(subject, word, None, reply);
     }
 
     /// Blocks a network here for as long as the others do, or lets it in again.
