Give a fleet's idle connections back where destinations lack them

Ruled out: the limits (reports told 0.3 to 0.9 left), an outage (no verdict "out" in any log), the tries of a message. Change: in a fleet, where answers report limits, a refusal with neither report nor wait is a full table. It counts for all destinations of the kind: their idle connections are closed, and each after its use. To make room: log() stands with what is for people, Message::new with the plain data.

The new test fails without the change (left: [], right: [0, 1, 0, 1]).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -114,6 +114,8 @@
     agenda: BTreeSet<(Micros, MessageId)>,
     upkeep_at: Micros, span: f64, spread: f64, wake_at: Micros, armed: Micros,
     calls_out: u32, next_call: u64, blocked: bool, stopping: Option<Micros>, list_version: u32, logged: u32,
+    /// Kinds of destination that have turned a connection away for want of room.
+    crowded: BTreeSet<usize>,
 }
 
 impl Brain {
@@ -131,15 +133,11 @@
         match event {
             Event::List { kind, version, endpoints } => self.list(kind, version, endpoints),
             Event::Request { id, class, destination, order_key, expires } => {
-                let class = class as usize;
-                let m = Message { class, destination, order_key, expires, ..Message::default() };
-                self.knock(id, m);
+                self.knock(id, Message::new(class, destination, order_key, expires));
             }
-            Event::Restored { id, class, destination, order_key, expires, attempts, first_run } => {
-                let (class, ran, attempts) = (class as usize, first_run, Attempt::over(attempts));
-                let m =
-                    Message { class, destination, order_key, expires, attempts, ran, ..Message::default() };
-                self.restored(id, m)
+            Event::Restored { id, class, destination, order_key, expires, attempts, first_run: ran } => {
+                let m = Message::new(class, destination, order_key, expires);
+                self.restored(id, Message { attempts: Attempt::over(attempts), ran, ..m });
             }
             Event::Stopping { by } => self.stopping = Some(by),
             Event::Started { id, .. } | Event::Lapsed { id } => self.finish(id),
@@ -157,11 +155,6 @@
         out.append(&mut self.out);
     }
 
-    fn log(&mut self, text: String) {
-        self.logged += 1;
-        self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
-    }
-
     /// Span between attempts of one sender at which all together bring a cold destination no harm.
     fn even(&self) -> f64 {
         f64::from(self.s.senders.max(1)) * self.s.rules.tip_after as f64 / SLACK
@@ -517,15 +510,23 @@
         }
         // Idle connections fill the table of an endpoint that takes few, or are dropped unseen: closed after
         // use where one was denied or this sender comes seldom. Costs a handshake if the next call was near.
+        // A refusal without a report, where others have one, is a table filled by a fleet. Who holds a place
+        // there never meets one, so it counts for all destinations of the kind.
+        let reports = self.s.senders >= FLEET && self.lanes.iter().any(|l| l.reported);
         let l = &self.lanes[lane];
+        let no_room = reports && outcome == Outcome::Full && report.is_none() && end.wait == 0;
+        if no_room && self.crowded.insert(l.kind) {
+            let same = self.targets.iter().filter(|(_, t)| self.lanes[t.lane].kind == l.kind);
+            self.out.extend(same.map(|(id, _)| Action::CloseIdle { target: *id }));
+        }
         let seldom = (l.heat - 1.0) * self.s.connection_idle as f64 / SECOND <= self.span;
         if let Some(t) = self.targets.get_mut(&target) {
             // One endpoint of several may be out alone: it rests while the others serve.
-            t.avoid_until = if fails { self.now + least_aim as Micros } else { 0 };
+            t.avoid_until = if fails || no_room { self.now + least_aim as Micros } else { 0 };
             t.denied |= outcome == Outcome::ConnectFailed;
             let last = outcome != Outcome::ConnectFailed && !l.calls.values().any(|c| c.target == target);
-            let close = last && (t.denied || seldom && outcome == Outcome::Ok);
-            self.out.extend(close.then_some(Action::CloseIdle { target }));
+            let short = t.denied || self.crowded.contains(&l.kind) || seldom && outcome == Outcome::Ok;
+            self.out.extend((last && short).then_some(Action::CloseIdle { target }));
         }
         let ramps = matches!(self.lanes[lane].gate, Gate::Ramp { .. });
         (was != self.lanes[lane].gate && ramps)
@@ -665,8 +666,7 @@
         let d = self.destinations.get(&dest)?;
         let fee_of = |lane: usize| self.lanes[lane].fee;
         let usable = |l: &&usize| self.lanes[**l].gate == Gate::Open && self.endpoint(**l, None).is_some();
-        let healthy = d.lanes.iter().filter(usable);
-        let least_fee = healthy.map(|l| fee_of(*l)).fold(f64::INFINITY, f64::min);
+        let least_fee = d.lanes.iter().filter(usable).map(|l| fee_of(*l)).fold(f64::INFINITY, f64::min);
         let worth = self.s.classes.iter().map(|c| c.worth).sum::<f64>() / self.s.classes.len() as f64;
         let mut best: Option<Pick> = None;
         for ((class, bound), set) in &d.ready {
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,13 @@
     pub over: bool,
 }
 
+impl Message {
+    /// One that has not been tried.
+    pub fn new(class: u32, destination: DestinationId, order_key: u64, expires: Micros) -> Message {
+        Message { class: class as usize, destination, order_key, expires, ..Message::default() }
+    }
+}
+
 /// How a call ended.
 pub(crate) struct End {
     pub outcome: Outcome,
--- a/src/view.rs
+++ b/src/view.rs
@@ -7,6 +7,12 @@
 use std::collections::BTreeMap;
 
 impl Brain {
+    /// A line for people; a bound, since what goes wrong for long says so again and again.
+    pub(super) fn log(&mut self, text: String) {
+        self.logged += 1;
+        self.out.extend((self.logged <= 100).then_some(Action::Log { text }));
+    }
+
     /// A picture of every destination at a time. Bounded work: it looks at destinations, targets and calls out, not
     /// at single messages.
     pub fn view(&self, now: Micros) -> Vec<DestinationView> {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,8 +4,8 @@
 use foldtrack_emulator::world::World;
 use hatchline::emulated::Modules;
 use hatchline::{
-    Action, Brain, Class, Effect, Endpoint, EndpointState, Event, ListKind, ListedRate, Micros, Outcome,
-    Settings,
+    Action, Brain, Class, Effect, Endpoint, EndpointState, Event, LimitReport, ListKind, ListedRate, Micros,
+    Outcome, Settings,
 };
 use std::collections::BTreeMap;
 
@@ -181,6 +181,65 @@
     );
 }
 
+/// One of so many senders that has had a call served at each of three destinations, the first two of one kind and the third of
+/// another, and then another call at the first refused. Gives the targets whose idle connections it closes.
+fn closed_after_a_refusal(senders: u32, reported: bool, refusal: (Option<LimitReport>, Micros)) -> Vec<u32> {
+    let settings = Settings { connection_idle: 60 * SECOND, ..settings(senders) };
+    let mut brain = Brain::new(0, 1, settings);
+    let mut out = Vec::new();
+    let line = |target: u32| {
+        let kind = target / 2;
+        Endpoint { target, destination: target, kind, state: EndpointState::Ready, ..Endpoint::default() }
+    };
+    let endpoints = (0..3).map(line).collect();
+    brain.handle(0, Event::List { kind: ListKind::Full, version: 1, endpoints }, &mut out);
+    let report = LimitReport { share_left: 0.9, rate: 50.0 };
+    let mut call = |id: u64, target: u32, outcome, report, wait| {
+        let mut now = id * 4 * SECOND;
+        let expires = now + 12 * SECOND;
+        let request = Event::Request { id, class: 0, destination: target, order_key: 0, expires };
+        brain.handle(now, request, &mut out);
+        // One of a fleet goes at a place of its own.
+        while !out.drain(..).any(|a| matches!(a, Action::Send { id: sent, .. } if sent == id)) {
+            now += 20_000;
+            assert!(now < expires, "message {id} is not sent");
+            brain.handle(now, Event::Timer { token: 0 }, &mut out);
+            brain.decide(now, &mut out);
+        }
+        let took = 40_000;
+        let end = Event::Outcome { id, attempt: 0, target, outcome, took, ended: true, wait, report };
+        brain.handle(now + took, end, &mut out);
+        let closed = out.drain(..).filter_map(|a| match a {
+            Action::CloseIdle { target } => Some(target),
+            _ => None,
+        });
+        closed.collect::<Vec<u32>>()
+    };
+    let served = (1..).zip((0..3).cycle()).take(9);
+    served.for_each(|(id, target)| drop(call(id, target, Outcome::Ok, reported.then_some(report), 0)));
+    let mut closed = call(10, 0, Outcome::Full, refusal.0, refusal.1);
+    // Where it has learned something it goes on by it.
+    closed.extend(call(11, 1, Outcome::Ok, reported.then_some(report), 0));
+    closed.extend(call(12, 2, Outcome::Ok, reported.then_some(report), 0));
+    closed
+}
+
+/// Found on lakeshore and on the registry, whose partners take fewer connections than there are forwarders: whoever had one kept
+/// it, idle, and was never refused; of 8,000 calls in five seconds 4,000 were. A refusal for want of connections carries no report.
+#[test]
+fn a_kind_that_is_short_of_connections_gets_the_idle_ones_of_a_fleet_back() {
+    let told = Some(LimitReport { share_left: 0.0, rate: 50.0 });
+    assert_eq!(
+        closed_after_a_refusal(300, true, (None, 0)),
+        [0, 1, 0, 1],
+        "all of the kind, and after each use"
+    );
+    assert_eq!(closed_after_a_refusal(300, true, (told, 0)), [], "a limit");
+    assert_eq!(closed_after_a_refusal(300, true, (None, SECOND / 2)), [], "a wait");
+    assert_eq!(closed_after_a_refusal(300, false, (None, 0)), [], "nobody reports anything");
+    assert_eq!(closed_after_a_refusal(3, true, (None, 0)), [], "one of a few");
+}
+
 /// Below the limit a fleet's messages go as they come.
 #[test]
 fn a_fleet_below_the_limit_is_not_held_up() {
