--- a/tests/forwarder/discovery.rs
+++ b/tests/forwarder/discovery.rs
@@ -4,8 +4,11 @@
 use super::world::*;
 use super::MS;
 use serde_json::{json, Value};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// Within this a change counts as told; the grace of a drain comes on top.
@@ -172,3 +175,70 @@
     assert!(up.elapsed() < MS(1_000), "asked after {:?}", up.elapsed());
     drop((forwarder, new));
 }
+
+/// Idle clients that take every descriptor they can get, and come again as soon as they are let go.
+struct Crowd {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn on(address: SocketAddr, size: usize) -> Crowd {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let thread = std::thread::spawn(move || {
+            let mut held: Vec<TcpStream> = Vec::new();
+            while !stopped.load(Ordering::SeqCst) {
+                held.retain(|stream| {
+                    let peeked = stream.peek(&mut [0]);
+                    matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+                });
+                while held.len() < size {
+                    let Ok(stream) = TcpStream::connect(address) else { break };
+                    stream.set_nonblocking(true).unwrap();
+                    held.push(stream);
+                }
+                std::thread::sleep(MS(5));
+            }
+        });
+        Crowd { stop, thread: Some(thread) }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// The list, the targets, the reports and the journal get their descriptors though idle clients take all that they can get,
+/// and discovery, which was silent meanwhile, is heard when it is back.
+#[test]
+fn idle_clients_that_fill_the_descriptors_take_nothing_from_the_list_the_calls_and_the_reports() {
+    const DESCRIPTORS: u32 = 96;
+    let (old, new) = (Server::start(|_| Reply::Silence), Server::start(|_| OK));
+    let platform = Platform::start(vec![line("s-1", old.address, 1, "active")]);
+    let mut forwarder = Forwarder::start_with(&platform, |config| {
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+    });
+    forwarder.restrict(DESCRIPTORS);
+    assert_eq!(forwarder.hand_in(&fee("ends").within(2_500)), 202);
+    assert_eq!(forwarder.hand_in(&update("moves", "k")), 202);
+    eventually("the calls", || old.ids().len() == 2);
+    platform.fall_silent(true);
+    let crowd = Crowd::on(forwarder.listen, 3 * DESCRIPTORS as usize);
+    std::thread::sleep(MS(500));
+    platform.change(vec![line("s-1", old.address, 1, "leaving"), line("s-2", new.address, 1, "active")]);
+    platform.fall_silent(false);
+    eventually("the report", || platform.has("ends", "given_up"));
+    eventually("the list is told", || platform.has_told());
+    // Its call is cut off with the process; the crowd is there when it starts, and the journal is read all the same.
+    forwarder.kill();
+    forwarder.start_again();
+    eventually("the call", || new.ids() == ["moves"]);
+    assert!(forwarder.is_running());
+    drop(crowd);
+    eventually("clients are served", || forwarder.hand_in(&fee("after")) == 202);
+    eventually("the call", || new.ids() == ["moves", "after"]);
+}
