Keep a fleet's trials and slow start within what a cold partner bears, by arithmetic

Need: beyond the budget N of a cold destination only 2 x root(N) + 2 calls are put down to chance, for all forwarders together. Seen in a test of 12 to 100 copies of the module, each with three times its part to send: 59 calls in the first window of 2 s at a budget of 28 (12 senders), 298 at 126 (100), and half as much again as the budget over the whole ramp (705 at 485, 30 senders). Cause (Brain::gap, can_call, judge): each took the larger of its own traffic and its even part, so that the sum was 0.6 x 2.5 x (traffic + limit); and after a first answer each sent a row of trials, until the verdict "out" was taken back. Change: own traffic counts up to part / RAMP_CAUTION in a fleet (Brain::share), so that the sum is at most the multiple of the limit; one answer takes the verdict back in a fleet, and the slow start follows.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -165,11 +165,18 @@
     /// evenly, or by the trouble's span, in which each message brought one sender at most. Harms if few came.
     fn gap(&self, lane: usize, at: Micros) -> f64 {
         let r = &self.s.rules;
-        let part = self.own(lane) * r.cold_from * r.tip_multiple.max(1.0) * RAMP_CAUTION / SECOND;
+        let part = self.share(lane) * r.cold_from * r.tip_multiple.max(1.0) * RAMP_CAUTION / SECOND;
         let since = at - self.lanes[lane].trouble.unwrap_or(at).min(at);
         (1.0 / part.max(1e-12)).min(self.even()).min(TROUBLE_SPANS * since as f64)
     }
 
+    /// Calls a second that count as its own at a lane in trouble or cold: its traffic, and of a fleet no more
+    /// than comes, with caution, to the limit for all together, however much more there is to send.
+    fn share(&self, lane: usize) -> f64 {
+        let part = self.lanes[lane].part;
+        self.own(lane).min(if part > 0.0 { part / RAMP_CAUTION } else { f64::MAX })
+    }
+
     /// A message at the door: where clients heed waits it is refused if it would be late, or its destination
     /// has its part of the room.
     fn knock(&mut self, id: MessageId, m: Message) {
@@ -226,9 +233,8 @@
 
     /// A wait as it is told: stretched a little at random, so that clients do not come back all at once.
     fn wait_told(&mut self, wait: f64) -> Micros {
-        let stretched = |by: f64| (wait * (1.0 + TAU_JITTER * by)) as Micros;
         let most = if self.s.may_advise_wait { self.s.max_advised_wait } else { return 0 };
-        stretched(self.random()).min(most)
+        ((wait * (1.0 + TAU_JITTER * self.random())) as Micros).min(most)
     }
 
     fn request(&mut self, id: MessageId, mut m: Message) {
@@ -438,6 +444,8 @@
                     }
                 }
                 (l.full_run, l.last_ok) = (0, self.now);
+                // One answer is enough in a fleet, which goes on slowly: a row of trials of each is a burst.
+                (fleet && matches!(l.gate, Gate::Out { .. })).then(|| l.evidence.was_never_out(self.now));
                 let out = l.evidence.is_out(self.now);
                 let trouble = if out { l.trouble } else { l.trouble.take() };
                 let suspicion = trouble.is_some_and(|t| self.now < t + SUSPICION);
@@ -480,9 +488,7 @@
             Outcome::Spoilt => {
                 l.evidence.spoilt(self.now);
                 l.last_ok = self.now;
-                if l.evidence.is_lossy() {
-                    l.trouble.get_or_insert(sent);
-                }
+                l.trouble = l.trouble.or(l.evidence.is_lossy().then_some(sent));
             }
             _ => {
                 if l.gate == Gate::Open && (outcome != Outcome::Error) {
@@ -528,9 +534,8 @@
             let short = t.denied || self.crowded.contains(&l.kind) || seldom && outcome == Outcome::Ok;
             self.out.extend((last && short).then_some(Action::CloseIdle { target }));
         }
-        let ramps = matches!(self.lanes[lane].gate, Gate::Ramp { .. });
-        (was != self.lanes[lane].gate && ramps)
-            .then(|| self.log(format!("destination of {target} answers again: slow start")));
+        let back = was != self.lanes[lane].gate && matches!(self.lanes[lane].gate, Gate::Ramp { .. });
+        back.then(|| self.log(format!("destination of {target} answers again: slow start")));
     }
 
     /// A destination looks out: nothing but single trials until one is answered.
@@ -569,16 +574,15 @@
     /// Age at which a call is past all that is usual; longer where little has been answered yet.
     fn patience(&self, l: &Lane) -> f64 {
         let (t, long) = (&l.times, l.times.longest());
-        if t.tau > 0.0 {
-            (1.25 * long).max(4.0 * t.mean())
-        } else {
-            (3.0 * long).max(self.least_aim())
+        match t.tau > 0.0 {
+            true => (1.25 * long).max(4.0 * t.mean()),
+            false => (3.0 * long).max(self.least_aim()),
         }
     }
 
     /// Whether a lane takes a call now, and whether as a trial; if not, when to look again.
     fn can_call(&mut self, lane: usize, cap: u32) -> Result<bool, Micros> {
-        let (own, aim, draw) = (self.own(lane), self.least_aim(), self.placed(self.now));
+        let (own, aim, draw) = (self.share(lane), self.least_aim(), self.placed(self.now));
         let usual = self.patience(&self.lanes[lane]) as Micros;
         if self.stopping.is_some_and(|by| self.now + usual > by) {
             return Err(Micros::MAX); // it would be cut off, and may have run
@@ -596,7 +600,7 @@
             let part = ((self.now - since) as f64 / r.ramp_time.max(1) as f64).min(1.0);
             let warm = r.cold_from + (1.0 - r.cold_from) * part;
             // What it served lately it can do, also where clients come less often meanwhile.
-            let own = own.max(if l.before > MANY { l.before } else { 0.0 });
+            let own = own.max(if l.before > MANY && l.part <= 0.0 { l.before } else { 0.0 });
             let capacity = own.max(l.limit.max(LEAST_TOGETHER) / f64::from(self.s.senders.max(1)));
             (rate, depth) = (capacity * warm * r.tip_multiple.max(1.0) * RAMP_CAUTION, 1.0);
         }
@@ -605,10 +609,11 @@
         l.tokens = (l.tokens + refill).min(depth);
         l.rested_in_fleet(rate, aim, draw, self.now);
         l.filled = self.now;
-        let lack = (1.0 - l.tokens) / rate.max(1e-9) * SECOND;
         match l.gate {
             Gate::Out { .. } => Ok(true),
-            _ if rate > 0.0 && l.tokens < 1.0 => Err(self.now + lack as Micros + 1),
+            _ if rate > 0.0 && l.tokens < 1.0 => {
+                Err(self.now + ((1.0 - l.tokens) / rate * SECOND) as Micros + 1)
+            }
             _ if (l.calls.len() as u32) < (l.window as u32).min(cap).max(1) => Ok(false),
             _ => Err(Micros::MAX),
         }
@@ -749,9 +754,8 @@
             again && !last && l.times.tau > 0.0 && (l.budget > 0.0 || trial) && self.now + tau < m.expires;
         let until = if planned { self.now + tau } else { off };
         m.ran.get_or_insert((self.now, zone));
-        if let Some(c) = l.calls.get_mut(&call) {
-            c.messages.push((id, m.attempts.len() as u32));
-        }
+        let number = m.attempts.len() as u32;
+        l.calls.get_mut(&call).into_iter().for_each(|c| c.messages.push((id, number)));
         m.attempts.push(Attempt { target, call, planned, done: None });
         self.out.push(Action::Send { id, target, until });
         call
@@ -810,9 +814,8 @@
                 None => drop(best.swap_remove(i)),
             }
         }
-        for d in self.destinations.values_mut().filter(|d| !d.ready.is_empty()) {
-            d.behind.get_or_insert(now);
-        }
+        let waiting = self.destinations.values_mut().filter(|d| !d.ready.is_empty());
+        waiting.for_each(|d| d.behind = d.behind.or(Some(now)));
         self.blocked = !best.is_empty();
         let next = self.agenda.first().map_or(Micros::MAX, |a| a.0);
         let at = self.upkeep_at.min(self.wake_at).min(next);
@@ -833,10 +836,8 @@
             let l = &mut self.lanes[lane];
             l.times.age(keep);
             l.heat *= keep;
-            if l.times.answers >= WARM_UP {
-                // A resend throws work away and does it again: its cost c is a mean answer.
-                l.times.retune(l.times.mean());
-            }
+            // A resend throws work away and does it again: its cost c is a mean answer.
+            (l.times.answers >= WARM_UP).then(|| l.times.retune(l.times.mean()));
             l.steady += STEADY_WEIGHT * (l.rate - l.steady);
             l.before = (l.before * keep).max(l.rate);
             l.rate *= RATE_KEEP;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -5,7 +5,7 @@
 use hatchline::emulated::Modules;
 use hatchline::{
     Action, Brain, Class, Effect, Endpoint, EndpointState, Event, LimitReport, ListKind, ListedRate, Micros,
-    Outcome, Settings,
+    Outcome, Rules, Settings,
 };
 use std::collections::BTreeMap;
 
@@ -240,6 +240,78 @@
     assert_eq!(closed_after_a_refusal(3, true, (None, 0)), [], "one of a few");
 }
 
+/// A fleet whose partner was out comes back to it cold, each sender with three times its part of the limit to send. Gives the
+/// calls in each window of the tip time after the return, and what the settings allow in it.
+fn calls_to_a_cold_partner(senders: u32, limit: f64) -> Vec<(f64, f64)> {
+    const STEP: Micros = 20_000;
+    let (out_from, back, end) = (20 * SECOND, 32 * SECOND, 46 * SECOND);
+    let rules = Rules {
+        cold_from: 0.16,
+        ramp_time: 14 * SECOND,
+        tip_multiple: 2.5,
+        tip_after: 2 * SECOND,
+        ..Rules::default()
+    };
+    let mut brains: Vec<Brain> = (0..senders)
+        .map(|n| {
+            let settings = Settings { rules: rules.clone(), slots: 8, max_held: 400, ..settings(senders) };
+            Brain::new(0, u64::from(n).wrapping_mul(0x1234_5678_9abc_def1), settings)
+        })
+        .collect();
+    let mut out = Vec::new();
+    brains.iter_mut().for_each(|brain| brain.handle(0, list(2, limit), &mut out));
+    let every = (f64::from(senders) / limit / 3.0 * 1e6) as Micros;
+    // What ends when: by sender, message, attempt, target.
+    let mut ends: Vec<(Micros, usize, u64, u32, u32, Outcome)> = Vec::new();
+    let (mut tries, mut sent, mut next) = (BTreeMap::<(usize, u64), u32>::new(), Vec::new(), 0u64);
+    for now in (0..end).step_by(STEP as usize) {
+        let (due, later) = ends.into_iter().partition(|e| e.0 <= now);
+        ends = later;
+        for (_, n, id, attempt, target, outcome) in due {
+            let report = LimitReport { share_left: 0.6, rate: limit };
+            let report = Some(report).filter(|_| outcome == Outcome::Ok);
+            let (took, ended) = (40_000, outcome == Outcome::Ok);
+            let end = Event::Outcome { id, attempt, target, outcome, took, ended, wait: 0, report };
+            brains[n].handle(now, end, &mut out);
+        }
+        for (n, brain) in brains.iter_mut().enumerate() {
+            // Out of step with the others.
+            if (now + n as u64 * every / u64::from(senders)) % every < STEP {
+                next += 1;
+                brain.handle(now, request(next, now), &mut out);
+            }
+            brain.handle(now, Event::Timer { token: 0 }, &mut out);
+            brain.decide(now, &mut out);
+            for action in out.drain(..) {
+                let Action::Send { id, target, .. } = action else { continue };
+                let attempt = tries.entry((n, id)).or_default();
+                let is_out = (out_from..back).contains(&now);
+                let outcome = if is_out { Outcome::ConnectFailed } else { Outcome::Ok };
+                ends.push((now + 40_000, n, id, *attempt, target, outcome));
+                *attempt += 1;
+                sent.push(now);
+            }
+        }
+    }
+    let window = |from: Micros| {
+        let calls = sent.iter().filter(|at| (from..from + rules.tip_after).contains(*at)).count();
+        let warm = 0.16 + (1.0 - 0.16) * (from + rules.tip_after - back) as f64 / rules.ramp_time as f64;
+        (calls as f64, rules.tip_multiple * limit * warm.min(1.0) * rules.tip_after as f64 / 1e6)
+    };
+    (back..end - rules.tip_after).step_by(SECOND as usize / 4).map(window).collect()
+}
+
+/// Beyond the budget only chance is borne: twice its root and two more.
+#[test]
+fn a_fleet_keeps_to_what_a_cold_partner_bears_by_its_own_arithmetic() {
+    for (senders, limit) in [(12, 20.0), (20, 40.0), (30, 20.0), (30, 100.0), (100, 90.0)] {
+        for (calls, budget) in calls_to_a_cold_partner(senders, limit) {
+            let bears = budget + 2.0 * budget.sqrt() + 2.0;
+            assert!(calls <= bears, "{senders} senders, limit {limit}: {calls} calls, budget {budget}");
+        }
+    }
+}
+
 /// Below the limit a fleet's messages go as they come.
 #[test]
 fn a_fleet_below_the_limit_is_not_held_up() {
