--- a/src/brain.rs
+++ b/src/brain.rs
@@ -612,7 +612,7 @@
         match l.gate {
             Gate::Out { .. } => Ok(true),
             _ if rate > 0.0 && l.tokens < 1.0 => {
-                Err(self.now + ((1.0 - l.tokens) / rate * SECOND) as Micros + 1)
+                Err(self.now + ((1.0 - l.tokens) / rate.max(1e-9) * SECOND) as Micros + 1)
             }
             _ if (l.calls.len() as u32) < (l.window as u32).min(cap).max(1) => Ok(false),
             _ => Err(Micros::MAX),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -312,6 +312,34 @@
     }
 }
 
+/// A partner may report any limit: the next call's time must not run over the end of all times.
+#[test]
+fn a_reported_limit_of_next_to_nothing_is_borne() {
+    for senders in [1, 300] {
+        let mut brain = one_of(senders, 1);
+        let mut out = Vec::new();
+        brain.handle(0, list(1, 50.0), &mut out);
+        let report = Some(LimitReport { share_left: 1.0, rate: 1e-300 });
+        for id in 0..4 {
+            let now = (id + 1) * SECOND;
+            brain.handle(now, request(id, now), &mut out);
+            brain.decide(now, &mut out);
+            let sent = out.drain(..).find_map(|a| match a {
+                Action::Send { id, target, .. } => Some((id, target)),
+                _ => None,
+            });
+            let Some((id, target)) = sent else { continue };
+            let (outcome, took, wait) = (Outcome::Ok, 40_000, 0);
+            let end = Event::Outcome { id, attempt: 0, target, outcome, took, ended: true, wait, report };
+            brain.handle(now + took, end, &mut out);
+        }
+        brain.handle(9 * SECOND, Event::Timer { token: 0 }, &mut out);
+        brain.decide(9 * SECOND, &mut out);
+        let timers = out.iter().filter(|a| matches!(a, Action::Timer { after, .. } if *after > 0)).count();
+        assert!(timers > 0, "{senders} senders: nothing wakes it");
+    }
+}
+
 /// Below the limit a fleet's messages go as they come.
 #[test]
 fn a_fleet_below_the_limit_is_not_held_up() {
