Log each call, retry, refusal, end and close under a platform too

Change: tracing events by request id (call ended, retry, refused, ended undelivered) and by connection number (closed, with the reason), level by FOLDTRACK_LOG, info without it. Under a platform a line is written if standard error takes it at once, else dropped and counted; a site keeps its writer thread, now always started. Tests keep each forwarder's log in its folder and show its end when they fail.

--- a/crates/load/src/forwarder.rs
+++ b/crates/load/src/forwarder.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
+/// Environment variable with the level of the log; see `docs/operators/logs.md`.
+const LOG_VARIABLE: &str = "FOLDTRACK_LOG";
 /// Maximum time until the forwarder accepts connections.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -72,6 +74,9 @@
         std::fs::write(&file, text).map_err(|e| describe("cannot write the site file", &e))?;
         let mut command = Command::new(program);
         command.args(["serve", "--site"]).arg(&file).stdin(Stdio::null());
+        if std::env::var_os(LOG_VARIABLE).is_none() {
+            command.env(LOG_VARIABLE, "warn");
+        }
         let child = command.spawn().map_err(|e| describe("cannot start the forwarder", &e))?;
         let forwarder = Forwarder { child, listen, directory };
         let ready_by = Instant::now() + START_TIMEOUT;
--- a/src/bin/foldtrack/call.rs
+++ b/src/bin/foldtrack/call.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::connections::{Connection, SendError};
+use crate::delivery_log::CloseReason;
 use crate::descriptors::DescriptorPermit;
 use crate::events::{CallEnd, EventSender, LoopEvent};
 use crate::message::Message;
@@ -92,6 +93,8 @@
             target: self.target,
             started_at: Instant::now(),
             outcome,
+            status: None,
+            connection: None,
             settled: false,
             past_deadline: false,
             refused: false,
@@ -144,6 +147,7 @@
     // run.
     let mut handed_over = None;
     let mut dialled = None;
+    let mut used = None;
     let exchange = async {
         let mut connection = match idle {
             Some((connection, _)) => connection,
@@ -167,6 +171,7 @@
                 }
             }
         };
+        used = Some(connection.id());
         if clock.now() > preflight.decided_at + STALL_THRESHOLD.as_micros() as Micros {
             yield_to_socket_reads().await;
         }
@@ -204,7 +209,7 @@
         () = sleep_until(deadline) => Err(None),
         Ok(()) = &mut cancelled => Err(Some(NoResponse::Outcome(Outcome::Cancelled))),
     };
-    end.connect_time = dialled;
+    (end.connect_time, end.connection) = (dialled, used);
     end.past_deadline = Instant::now() >= deadline;
     if let (Err(None | Some(NoResponse::Outcome(Outcome::Cancelled))), Some(tap)) = (&response, &handed_over)
     {
@@ -223,6 +228,7 @@
     match response {
         Ok((mut connection, response)) => {
             let response_status = response.status();
+            end.status = Some(response_status.as_u16());
             apply_response_head(
                 &mut end,
                 response_status,
@@ -236,12 +242,16 @@
             let body = timeout(BODY_TIMEOUT, connection.finish(response.into_body(), MAX_BODY_BYTES)).await;
             // After a protocol switch the connection no longer speaks HTTP.
             let usable = matches!(body, Ok(Some(_))) && response_status != StatusCode::SWITCHING_PROTOCOLS;
+            if !usable {
+                connection.log_close(connection.defect().unwrap_or(CloseReason::ResponseUnfinished));
+            }
             end.reusable_connection = usable.then_some(connection);
         }
         // The status line counts although the rest of the response can't be read: the message is
         // delivered.
         Err(_) if handed_over.as_ref().is_some_and(|tap| is_delivered(tap, &protocol.dialect)) => {
             (end.outcome, end.settled) = (Outcome::Ok, true);
+            end.status = handed_over.as_ref().and_then(|tap| tap.status());
         }
         Err(Some(NoResponse::PreflightError(reason, connection))) => {
             end.outcome = Outcome::Withheld;
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -2,8 +2,9 @@
 //! reuse.
 
 use crate::clock::Clock;
+use crate::delivery_log::{self, CloseReason};
 use crate::descriptors::DescriptorPermit;
-use crate::streams::{ResponseTap, TappedStream};
+use crate::streams::{ResponseTap, TappedStream, Unread};
 use bytes::Bytes;
 use foldtrack_delivery::{Outcome, TargetId};
 use foldtrack_pool::{ConnectionCounts, IdleTimeout, PreconnectPolicy};
@@ -15,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -54,9 +56,19 @@
     pub config: watch::Receiver<Arc<ClientConfig>>,
 }
 
+/// Identifies a connection in the log, and how often it was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionId {
+    /// Its number among the connections of this process.
+    pub number: u64,
+    /// Requests that were written to it so far.
+    pub earlier_calls: u32,
+}
+
 /// An HTTP connection. Dropping it closes it, also during a call.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    id: ConnectionId,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     opened: Instant,
@@ -65,13 +77,20 @@
     idle_since: Instant,
     /// When the connection becomes too old to be reused.
     retire_at: Option<Instant>,
-    /// When the connection was closed, if it was.
-    closed_at: Arc<OnceLock<Instant>>,
+    /// How the connection ended, if it did.
+    end: Arc<OnceLock<ConnectionEnd>>,
     _descriptor: Option<DescriptorPermit>,
     /// Access to the raw socket and to the first bytes of the response.
     pub tap: Arc<ResponseTap>,
 }
 
+/// How a connection ended by itself.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionEnd {
+    at: Instant,
+    reason: CloseReason,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -115,21 +134,27 @@
             http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call in flight; between calls they only end the connection.
-        let closed_at = Arc::new(OnceLock::new());
-        let closed_at_cell = closed_at.clone();
+        let end = Arc::new(OnceLock::new());
+        let end_cell = end.clone();
         let driver = tokio::spawn(async move {
-            drop(connection.await);
-            let _ = closed_at_cell.set(Instant::now());
+            let reason = match connection.await {
+                Err(error) if is_unexpected_message(&error) => CloseReason::UnexpectedBytes,
+                _ => CloseReason::ClosedByTarget,
+            };
+            let _ = end_cell.set(ConnectionEnd { at: Instant::now(), reason });
         });
+        static OPENED: AtomicU64 = AtomicU64::new(0);
+        let number = OPENED.fetch_add(1, Ordering::Relaxed) + 1;
         let opened = Instant::now();
         let (idle_since, retire_at) = (opened, None);
         Ok(Connection {
+            id: ConnectionId { number, earlier_calls: 0 },
             sender,
             driver,
             opened,
             idle_since,
             retire_at,
-            closed_at,
+            end,
             _descriptor: descriptor,
             tap,
         })
@@ -138,6 +163,7 @@
     /// Sends a request and waits for the head of its response.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
         self.tap.start_request();
+        self.id.earlier_calls += 1;
         let unread = async {
             self.tap.wait_for_response().await;
             sleep(HEAD_TIMEOUT).await;
@@ -166,19 +192,49 @@
         Some(body)
     }
 
+    /// Its number and how many requests were written to it.
+    pub fn id(&self) -> ConnectionId {
+        self.id
+    }
+
+    /// Logs that the connection is closed, which happens when it is dropped.
+    pub fn log_close(&self, reason: CloseReason) {
+        delivery_log::connection_closed(self.id, Duration::from_micros(self.idle_time()), reason);
+    }
+
     /// How long the connection was idle when it was closed, in microseconds; up to now if that is
     /// not known.
     fn idle_time(&self) -> u64 {
-        let until = self.closed_at.get().copied().unwrap_or_else(Instant::now);
+        let until = self.end.get().map_or_else(Instant::now, |end| end.at);
         until.saturating_duration_since(self.idle_since).as_micros() as u64
     }
 
-    /// Whether the connection is open and nothing unexpected has arrived on it.
-    fn is_usable(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed() && self.tap.is_quiet()
+    /// Why the connection can't carry another call; none if it is open and nothing unexpected has
+    /// arrived on it. An unread session ticket of TLS costs a handshake but no message.
+    pub fn defect(&self) -> Option<CloseReason> {
+        if let Some(end) = self.end.get() {
+            return Some(end.reason);
+        }
+        match self.tap.unread() {
+            Unread::Bytes => Some(CloseReason::UnexpectedBytes),
+            Unread::Nothing if self.sender.is_ready() && !self.sender.is_closed() => None,
+            Unread::Nothing | Unread::Record | Unread::End => Some(CloseReason::ClosedByTarget),
+        }
     }
 }
 
+/// Whether hyper has read bytes that answer no request. It has no predicate for this kind of error,
+/// which is the only one without a predicate and without a source.
+fn is_unexpected_message(error: &hyper::Error) -> bool {
+    let named = error.is_parse()
+        || error.is_user()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_incomplete_message()
+        || error.is_timeout();
+    !named && std::error::Error::source(error).is_none()
+}
+
 /// Returns why the partner rejected the TLS handshake, if the connection ended by an alert that
 /// belongs to the handshake alone. Under TLS 1.3 a client has finished its part and sends its
 /// request before the server has checked its certificate (RFC 8446, section 4.4.2.4 and appendix
@@ -339,7 +395,8 @@
             let max_idle = Duration::from_micros(endpoint.idle_timeout.max_idle(now));
             loop {
                 let Some(connection) = endpoint.idle.pop() else { break None };
-                if !connection.is_usable() {
+                if let Some(reason) = connection.defect() {
+                    connection.log_close(reason);
                     endpoint.idle_timeout.closed_after(connection.idle_time());
                     continue;
                 }
@@ -350,7 +407,12 @@
                 break None;
             }
         } else {
-            endpoint.idle.retain(|c| reset_stats.is_safe(c.idle_since.elapsed()) && c.is_usable());
+            endpoint.idle.retain(|c| {
+                let too_long = !reset_stats.is_safe(c.idle_since.elapsed());
+                let reason = if too_long { Some(CloseReason::IdleTooLong) } else { c.defect() };
+                reason.into_iter().for_each(|reason| c.log_close(reason));
+                reason.is_none()
+            });
             endpoint.idle.pop()
         };
         endpoint.without_handshake += u64::from(connection.is_some());
@@ -444,12 +506,15 @@
     /// Drops the connection that has been idle for longest. False if there is none.
     pub fn drop_oldest(&mut self) -> bool {
         let idle = self.by_target.values_mut().map(|e| &mut e.idle).filter(|v| !v.is_empty());
-        idle.min_by_key(|v| v[0].idle_since).map(|v| v.remove(0)).is_some()
+        let oldest = idle.min_by_key(|v| v[0].idle_since).map(|v| v.remove(0));
+        oldest.iter().for_each(|connection| connection.log_close(CloseReason::PoolFull));
+        oldest.is_some()
     }
 
     /// Closes the idle connections of a target and aborts its dials: nothing new is sent to it.
     pub fn close(&mut self, target: TargetId) {
-        self.by_target.remove(&target);
+        let Some(endpoint) = self.by_target.remove(&target) else { return };
+        endpoint.idle.iter().for_each(|connection| connection.log_close(CloseReason::TargetClosed));
     }
 
     /// Connection statistics of a target.
@@ -485,7 +550,17 @@
                     false => idle_timeout
                         .open_after(now.saturating_duration_since(c.idle_since).as_micros() as u64),
                 }
-                !closed && now < c.idle_since + max_idle && c.retire_at.is_none_or(|at| now < at)
+                let reason = if closed {
+                    Some(c.defect().unwrap_or(CloseReason::ClosedByTarget))
+                } else if now >= c.idle_since + max_idle {
+                    Some(CloseReason::IdleTooLong)
+                } else if c.retire_at.is_some_and(|at| now >= at) {
+                    Some(CloseReason::TooOld)
+                } else {
+                    None
+                };
+                reason.into_iter().for_each(|reason| c.log_close(reason));
+                reason.is_none()
             });
         }
         if !learning {
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -2,7 +2,7 @@
 //! modules in `node` may use the whole program; socket tasks reach the loop only through this
 //! module.
 
-use crate::connections::Connection;
+use crate::connections::{Connection, ConnectionId};
 use crate::list::ServerList;
 use crate::message;
 use foldtrack_control::{
@@ -156,6 +156,10 @@
     /// When the call started.
     pub started_at: Instant,
     pub outcome: Outcome,
+    /// The status of the response, if there was one.
+    pub status: Option<u16>,
+    /// The connection that it was made on, as it was before; none if there was none.
+    pub connection: Option<ConnectionId>,
     /// Nothing more is owed for the message.
     pub settled: bool,
     /// The call's deadline had passed when its end was seen: whether the partner wrote its answer
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -11,6 +11,7 @@
 mod config;
 mod connections;
 mod control;
+mod delivery_log;
 mod descriptors;
 mod discovery_schedule;
 mod ends_api;
@@ -94,6 +95,7 @@
 
 /// Runs as a platform starts it: without arguments, configured by environment variables.
 fn serve_platform() -> ExitCode {
+    logs::start_without_thread();
     let end = Config::from_platform_env().and_then(|(config, path)| runtime()?.block_on(run(config, path)));
     match end {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -3,6 +3,7 @@
 use super::site_runtime::attempt_outcome;
 use super::{Acceptance, Node, PendingSend};
 use crate::call::{self, Call};
+use crate::delivery_log;
 use crate::descriptors::DescriptorPermit;
 use crate::events::CallEnd;
 use foldtrack_admission::DescriptorUser;
@@ -26,6 +27,10 @@
                 let (attempt, decided_at) = (held.attempts, self.clock.now());
                 held.pending_send = Some(PendingSend { attempt, target, until, decided_at });
                 held.attempts += 1;
+                if attempt > 0 {
+                    let target_name = self.targets.name(target);
+                    delivery_log::retried(&held.message.id, attempt, held.last_outcome, target_name);
+                }
                 self.pending_sends.insert(id);
                 self.send(id);
             }
@@ -244,6 +249,11 @@
         self.calls.remove(&(end.number, end.attempt));
         self.pool.call_ended(end.target, end.idle_for, end.connect_time, end.outcome);
         self.record_attempt_end(&end);
+        let took = self.clock.now().saturating_sub(self.clock.micros(end.started_at));
+        if let Some(held) = self.messages.get_mut(&end.number) {
+            held.last_outcome = Some(end.outcome);
+            delivery_log::call_ended(&held.message.id, self.targets.name(end.target), &end, took);
+        }
         let listed = self.targets.end_call(end.target);
         if let Some(connection) = end.reusable_connection.filter(|_| listed) {
             self.pool.put(end.target, connection);
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -66,6 +66,7 @@
                 journaled_attempts: 0,
                 withheld_calls: 0,
                 pending_send: None,
+                last_outcome: None,
             },
         );
         self.fresh_bytes += held_size;
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -30,7 +30,7 @@
 use foldtrack_admission::DescriptorUser;
 use foldtrack_delivery::settings::DeploymentSettings;
 use foldtrack_delivery::{
-    Action, DeliveryScheduler, Endpoint, EndpointState, Event, ListKind, Micros, TargetId,
+    Action, DeliveryScheduler, Endpoint, EndpointState, Event, ListKind, Micros, Outcome, TargetId,
 };
 use foldtrack_ends::Attempt;
 use foldtrack_journal::{Journal, JournalDir, JournalOptions};
@@ -98,6 +98,8 @@
     withheld_calls: u32,
     /// A send that was decided on and must wait; see [`Node::send`].
     pending_send: Option<PendingSend>,
+    /// Outcome of the latest attempt of this process.
+    last_outcome: Option<Outcome>,
 }
 
 /// The event loop's state.
--- a/src/bin/foldtrack/node/outcomes.rs
+++ b/src/bin/foldtrack/node/outcomes.rs
@@ -1,6 +1,7 @@
 //! How messages end: stored outcomes for a site, notices to the platform.
 
 use super::{Acceptance, HeldMessage, Node};
+use crate::delivery_log;
 use crate::events::SubmitReply;
 use crate::notice_queue::PendingNotice;
 use crate::platform;
@@ -36,6 +37,7 @@
         if let Acceptance::Undecided(reply) = held.acceptance {
             self.ids.remove(&held.message.id);
             self.release_id(&held.message.id);
+            delivery_log::refused(&held.message.id, notice, held.last_outcome);
             let retry_in_ms =
                 if let FailureNotice::HandedBack { retry_in_ms } = notice { retry_in_ms } else { 0 };
             let answer = match &mut self.site {
@@ -48,6 +50,7 @@
             let _ = reply.send(answer);
             return;
         }
+        delivery_log::ended_undelivered(&held.message.id, notice, held.attempts, held.last_outcome);
         if let Some(site) = &mut self.site {
             if matches!(held.acceptance, Acceptance::Replying) {
                 site.pending.insert(number, (held, notice));
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -67,6 +67,7 @@
             journaled_attempts: attempts.len() as u32,
             withheld_calls: 0,
             pending_send: None,
+            last_outcome: None,
         };
         if may_be_stale {
             // The state folder is an older copy: attempts made after the copy are not in it.
--- a/src/bin/foldtrack/partner_protocol.rs
+++ b/src/bin/foldtrack/partner_protocol.rs
@@ -328,9 +328,4 @@
             }
         });
     }
-
-    /// Whether there are no files to watch.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
 }
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -290,15 +290,31 @@
         }
     }
 
-    /// Whether nothing unexpected has arrived: neither bytes after the last response nor the end of
-    /// the stream. Asks the socket itself, since the runtime may not know yet. Under TLS an unread
-    /// session ticket also counts as not quiet, which costs a handshake but no message.
-    pub fn is_quiet(&self) -> bool {
-        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    /// What the socket has received that nobody has read yet. Asks the socket itself, since the
+    /// runtime may not know yet.
+    pub fn unread(&self) -> Unread {
+        match SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+            Ok(1..) if self.encrypted => Unread::Record,
+            Ok(1..) => Unread::Bytes,
+            Ok(0) | Err(_) => Unread::End,
+        }
     }
 }
 
+/// What a socket has received and nobody has read yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unread {
+    /// Nothing; the connection is open.
+    Nothing,
+    /// Bytes of HTTP.
+    Bytes,
+    /// A TLS record, such as a session ticket, or data.
+    Record,
+    /// The end of the stream, or an error.
+    End,
+}
+
 /// Skips complete interim responses (100 to 199).
 fn skip_interim(mut bytes: &[u8]) -> &[u8] {
     while let [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', b'1', ..] = bytes {
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -3,6 +3,7 @@
 
 mod deployments;
 mod discovery;
+mod logs;
 mod shutdown;
 mod waits;
 mod world;
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -1,6 +1,7 @@
 //! Stand-ins on loopback for everything that a forwarder talks to, and the forwarder as a process.
 
 use serde_json::{json, Value};
+use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -105,6 +106,13 @@
     }
 }
 
+/// Last lines of a forwarder's log that a failed test shows.
+const SHOWN_LOG_LINES: usize = 100;
+
+fn log_path(folder: &TempDir) -> PathBuf {
+    folder.path().join("stderr.log")
+}
+
 /// The forwarder's process with its folders. It keeps its address over restarts.
 pub struct Forwarder {
     pub listen: SocketAddr,
@@ -168,15 +176,28 @@
         self.kill();
         let mut shell = Command::new("/bin/sh");
         shell.args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_foldtrack"))]);
-        self.child = Forwarder::spawn_by(shell, &self.folder);
+        self.child = Forwarder::spawn_by(shell, &self.folder, Forwarder::log_file(&self.folder));
+        self.wait_until_ready();
+    }
+
+    /// Restarts the process with a pipe on its standard error that nobody reads.
+    pub fn restart_with_unread_log(&mut self) {
+        self.kill();
+        let command = Command::new(env!("CARGO_BIN_EXE_foldtrack"));
+        self.child = Forwarder::spawn_by(command, &self.folder, Stdio::piped());
         self.wait_until_ready();
     }
 
+    fn log_file(folder: &TempDir) -> Stdio {
+        Stdio::from(OpenOptions::new().create(true).append(true).open(log_path(folder)).unwrap())
+    }
+
     fn spawn(folder: &TempDir) -> Child {
-        Forwarder::spawn_by(Command::new(env!("CARGO_BIN_EXE_foldtrack")), folder)
+        let command = Command::new(env!("CARGO_BIN_EXE_foldtrack"));
+        Forwarder::spawn_by(command, folder, Forwarder::log_file(folder))
     }
 
-    fn spawn_by(mut command: Command, folder: &TempDir) -> Child {
+    fn spawn_by(mut command: Command, folder: &TempDir, stderr: Stdio) -> Child {
         let config = std::fs::read(folder.path().join("config.json")).unwrap();
         let config: Value = serde_json::from_slice(&config).unwrap();
         command
@@ -184,11 +205,16 @@
             .env("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())
             .env("BALANCER_CONFIG", folder.path().join("config.json"))
             .env("BALANCER_STATE", folder.path().join("state"))
-            .stderr(Stdio::inherit())
+            .stderr(stderr)
             .spawn()
             .unwrap()
     }
 
+    /// What the forwarder has logged, over restarts.
+    pub fn log(&self) -> String {
+        String::from_utf8_lossy(&std::fs::read(log_path(&self.folder)).unwrap()).into_owned()
+    }
+
     fn wait_until_ready(&self) {
         let health = "GET /healthz HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n";
         eventually("the forwarder is ready", || self.exchange(health.as_bytes()).starts_with("HTTP/1.1 200"));
@@ -277,6 +303,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            let log = self.log();
+            let lines: Vec<&str> = log.lines().collect();
+            lines[lines.len().saturating_sub(SHOWN_LOG_LINES)..].iter().for_each(|line| eprintln!("{line}"));
+        }
     }
 }
 
--- a/tests/site/site_process.rs
+++ b/tests/site/site_process.rs
@@ -176,6 +176,7 @@
         let program = std::env::var_os("FOLDTRACK_PROGRAM").unwrap_or(PROGRAM.into());
         let mut command = Command::new(program);
         command.args(["serve", "--site"]).arg(self.site_file()).env_clear().stderr(Stdio::inherit());
+        command.env("FOLDTRACK_LOG", "warn");
         if self.disk_limit_file().exists() {
             command.arg("--disk-budget").arg(self.disk_limit_file());
         }
