--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -4,6 +4,7 @@
 mod deployments;
 mod discovery;
 mod logs;
+mod responses;
 mod shutdown;
 mod waits;
 mod world;
