--- a/src/bin/foldtrack/logs.rs
+++ b/src/bin/foldtrack/logs.rs
@@ -1,6 +1,5 @@
-//! Logging to standard error, as `tracing` events. A blocked terminal or pipe delays nothing else:
-//! at a site a separate thread writes the lines, and lines beyond its buffer are dropped; under a
-//! platform, where the process has one thread, a line that would block is dropped.
+//! Logging to standard error, as `tracing` events, without a thread. A blocked terminal or pipe
+//! delays nothing else: a line that would block is dropped and counted.
 
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::env;
@@ -8,10 +7,7 @@
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tracing::level_filters::LevelFilter;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 
-/// Number of lines that the buffer holds.
-const MAX_BUFFERED_LINES: usize = 1_000;
 /// Environment variable with the least severe level that is logged: `off`, `error`, `warn`, `info`,
 /// `debug` or `trace`.
 const LEVEL_VARIABLE: &str = "FOLDTRACK_LOG";
@@ -26,18 +22,8 @@
     configured.unwrap_or(DEFAULT_LEVEL)
 }
 
-/// Starts logging with a thread that writes. Dropping the guard writes the buffered lines.
-pub(crate) fn start() -> WorkerGuard {
-    let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_BUFFERED_LINES).lossy(true);
-    let (writer, guard) = builder.thread_name("log").finish(std::io::stderr());
-    let subscriber = tracing_subscriber::fmt().with_max_level(level()).with_writer(writer);
-    // Only the first call takes effect: there is one process.
-    let _ = subscriber.with_ansi(false).with_target(false).try_init();
-    guard
-}
-
-/// Starts logging without a thread.
-pub(crate) fn start_without_thread() {
+/// Starts logging. Only the first call takes effect: there is one process.
+pub(crate) fn start() {
     let subscriber = tracing_subscriber::fmt().with_max_level(level()).with_writer(|| LineWriter);
     let _ = subscriber.with_ansi(false).with_target(false).try_init();
 }
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -95,7 +95,7 @@
 
 /// Runs as a platform starts it: without arguments, configured by environment variables.
 fn serve_platform() -> ExitCode {
-    logs::start_without_thread();
+    logs::start();
     let end = Config::from_platform_env().and_then(|(config, path)| runtime()?.block_on(run(config, path)));
     match end {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -73,7 +73,7 @@
     };
     let socket = control::bind(&site.control_socket())?;
     let (partner_protocols, file_watcher) = partner_protocol::load(&site)?;
-    let _logs = logs::start();
+    logs::start();
     let (events, receiver) = events::channel();
     let config = Config {
         listen: site.listen,
