Let connections rest between calls, so that no stray response ends a later call

Cause: HTTP/1.1 responses name no request, and a connection was handed to the next call as soon as a response had been read. A second copy 1 to 15 ms later ended that call, and each later call there got the answer of the one before. A connection rests for a second after each call; what arrives meanwhile ends it. The socket is asked once more before the first byte. An endpoint that sent something unasked gets one call for each connection for ten minutes. connection-rest sets it at a site. Why this works: what a copy can end must be waiting when it comes.

--- a/crates/site/src/check.rs
+++ b/crates/site/src/check.rs
@@ -86,6 +86,12 @@
             findings,
             within(SECOND..=DAY, "\"1s\" to \"24h\"", parsed(parse_duration)),
         ),
+        connection_rest: table.optional(
+            "connection-rest",
+            SECOND,
+            findings,
+            within(0..=60 * SECOND, "\"0s\" to \"60s\"", parsed(parse_duration)),
+        ),
         open_ahead: table.optional("open-ahead", true, findings, boolean),
     };
     table.finish(findings);
--- a/crates/site/src/model.rs
+++ b/crates/site/src/model.rs
@@ -176,6 +176,8 @@
     pub connect_timeout: u64,
     /// Maximum age of a connection; an older one is not reused.
     pub connection_age: u64,
+    /// How long a connection rests after a response before it carries the next call.
+    pub connection_rest: u64,
     /// Whether connections are opened ahead of demand where the handshake takes time.
     pub open_ahead: bool,
 }
--- a/src/bin/foldtrack/call.rs
+++ b/src/bin/foldtrack/call.rs
@@ -103,6 +103,7 @@
             report: None,
             idle_for: self.connection.as_ref().map(|(_, idle)| *idle),
             connect_time: None,
+            unasked_response: false,
             reusable_connection: None,
         }
     }
@@ -148,6 +149,7 @@
     let mut handed_over = None;
     let mut dialled = None;
     let mut used = None;
+    let mut unasked_response = false;
     let exchange = async {
         let mut connection = match idle {
             Some((connection, _)) => connection,
@@ -186,6 +188,13 @@
         if Instant::now() >= deadline {
             return Err(NoResponse::Outcome(Outcome::ConnectFailed));
         }
+        // Bytes that arrived since the connection was chosen answer no request: the next response
+        // on it would be taken for the answer to this call.
+        if connection.has_unasked_bytes() {
+            connection.log_close(CloseReason::UnexpectedBytes);
+            unasked_response = true;
+            return Err(NoResponse::Outcome(Outcome::NotSent));
+        }
         let request = Request::from_parts(
             head(&message, address, deadline, &protocol, &settings)?,
             Full::new(message.body.clone()),
@@ -209,7 +218,7 @@
         () = sleep_until(deadline) => Err(None),
         Ok(()) = &mut cancelled => Err(Some(NoResponse::Outcome(Outcome::Cancelled))),
     };
-    (end.connect_time, end.connection) = (dialled, used);
+    (end.connect_time, end.connection, end.unasked_response) = (dialled, used, unasked_response);
     end.past_deadline = Instant::now() >= deadline;
     if let (Err(None | Some(NoResponse::Outcome(Outcome::Cancelled))), Some(tap)) = (&response, &handed_over)
     {
@@ -243,7 +252,9 @@
             // After a protocol switch the connection no longer speaks HTTP.
             let usable = matches!(body, Ok(Some(_))) && response_status != StatusCode::SWITCHING_PROTOCOLS;
             if !usable {
-                connection.log_close(connection.defect().unwrap_or(CloseReason::ResponseUnfinished));
+                let reason = connection.defect().unwrap_or(CloseReason::ResponseUnfinished);
+                connection.log_close(reason);
+                end.unasked_response = reason == CloseReason::UnexpectedBytes;
             }
             end.reusable_connection = usable.then_some(connection);
         }
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -7,7 +7,8 @@
 use crate::streams::{ResponseTap, TappedStream, Unread};
 use bytes::Bytes;
 use foldtrack_delivery::{Outcome, TargetId};
-use foldtrack_pool::{ConnectionCounts, IdleTimeout, PreconnectPolicy};
+use foldtrack_pool::reuse::DEFAULT_REST_US;
+use foldtrack_pool::{ConnectionCounts, IdleConnection, IdleTimeout, PreconnectPolicy, ReusePolicy};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -209,6 +210,17 @@
         until.saturating_duration_since(self.idle_since).as_micros() as u64
     }
 
+    /// Whether bytes have arrived that nobody has read. Under TLS they may be a session ticket.
+    pub fn has_unasked_bytes(&self) -> bool {
+        self.tap.unread() == Unread::Bytes
+    }
+
+    /// The connection as the reuse policy sees it.
+    fn as_idle(&self, now: Instant) -> IdleConnection {
+        let idle = now.saturating_duration_since(self.idle_since).as_micros() as u64;
+        IdleConnection { used: self.id.earlier_calls > 0, idle }
+    }
+
     /// Why the connection can't carry another call; none if it is open and nothing unexpected has
     /// arrived on it. An unread session ticket of TLS costs a handshake but no message.
     pub fn defect(&self) -> Option<CloseReason> {
@@ -221,6 +233,21 @@
             Unread::Nothing | Unread::Record | Unread::End => Some(CloseReason::ClosedByTarget),
         }
     }
+
+    /// Why the connection has to leave the pool, as far as that is known without a system call; none
+    /// if it may stay.
+    fn expiry(&self, now: Instant, max_idle: Duration) -> Option<CloseReason> {
+        if let Some(end) = self.end.get() {
+            return Some(end.reason);
+        }
+        if self.sender.is_closed() {
+            return Some(CloseReason::ClosedByTarget);
+        }
+        if now >= self.idle_since + max_idle {
+            return Some(CloseReason::IdleTooLong);
+        }
+        self.retire_at.filter(|at| now >= *at).map(|_| CloseReason::TooOld)
+    }
 }
 
 /// Whether hyper has read bytes that answer no request. It has no predicate for this kind of error,
@@ -331,6 +358,8 @@
     pub max_per_target: usize,
     /// Maximum age of a connection.
     pub max_age: Duration,
+    /// How long a connection rests after a call.
+    pub rest: Duration,
 }
 
 /// The idle connections to targets, and what was learned of each target.
@@ -339,6 +368,7 @@
     /// Reset statistics of all targets together, used with the platform.
     reset_stats: ResetStats,
     by_target: BTreeMap<TargetId, Endpoint>,
+    reuse: ReusePolicy,
     max_idle: Duration,
     max_connections: usize,
     /// Only at a site; idle timeouts are then learned per target.
@@ -355,10 +385,17 @@
     ) -> Self {
         let margin = Duration::from_secs(1).min(conn_idle / 4);
         let (reset_stats, by_target) = (ResetStats::default(), BTreeMap::new());
+        let max_idle = conn_idle - margin;
+        // Targets that close idle connections early leave time for reuse.
+        let rest = match pool_settings {
+            Some(configured) => configured.rest.as_micros() as u64,
+            None => DEFAULT_REST_US.min(max_idle.as_micros() as u64 / 2),
+        };
         ConnectionPool {
             reset_stats,
             by_target,
-            max_idle: conn_idle - margin,
+            reuse: ReusePolicy::new(rest),
+            max_idle,
             max_connections,
             pool_settings,
             clock,
@@ -384,42 +421,52 @@
     pub fn take(&mut self, target: TargetId) -> Option<(Connection, Duration)> {
         self.drop_expired();
         let now = self.clock.now();
-        let learning = self.pool_settings.is_some();
-        self.endpoint(target);
-        let (reset_stats, endpoint) = (&self.reset_stats, self.by_target.get_mut(&target)?);
+        let endpoint = self.endpoint(target);
         endpoint.in_flight += 1;
         endpoint.calls += 1;
         endpoint.preconnect.call_started(now);
-        let connection = if learning {
+        let connection = self.select(target)?;
+        self.endpoint(target).without_handshake += 1;
+        let idle = connection.idle_since.elapsed();
+        Some((connection, idle))
+    }
+
+    /// Takes the connection that the reuse policy selects, and drops those that turn out to be of no
+    /// use.
+    fn select(&mut self, target: TargetId) -> Option<Connection> {
+        let now = self.clock.now();
+        let endpoint = self.by_target.get_mut(&target)?;
+        let mut first = 0;
+        if self.pool_settings.is_some() {
             // Connections that have been idle for longer stay in the pool and are watched.
             let max_idle = Duration::from_micros(endpoint.idle_timeout.max_idle(now));
-            loop {
-                let Some(connection) = endpoint.idle.pop() else { break None };
-                if let Some(reason) = connection.defect() {
-                    connection.log_close(reason);
-                    endpoint.idle_timeout.closed_after(connection.idle_time());
-                    continue;
-                }
-                if connection.idle_since.elapsed() <= max_idle {
-                    break Some(connection);
-                }
-                endpoint.idle.push(connection);
-                break None;
-            }
+            first = endpoint.idle.partition_point(|c| c.idle_since.elapsed() > max_idle);
         } else {
             endpoint.idle.retain(|c| {
-                let too_long = !reset_stats.is_safe(c.idle_since.elapsed());
-                let reason = if too_long { Some(CloseReason::IdleTooLong) } else { c.defect() };
-                reason.into_iter().for_each(|reason| c.log_close(reason));
-                reason.is_none()
+                let safe = self.reset_stats.is_safe(c.idle_since.elapsed());
+                if !safe {
+                    c.log_close(CloseReason::IdleTooLong);
+                }
+                safe
             });
-            endpoint.idle.pop()
-        };
-        endpoint.without_handshake += u64::from(connection.is_some());
-        connection.map(|connection| {
-            let idle = connection.idle_since.elapsed();
-            (connection, idle)
-        })
+        }
+        loop {
+            let instant = Instant::now();
+            let idle: Vec<_> = endpoint.idle[first..].iter().map(|c| c.as_idle(instant)).collect();
+            let index = self.reuse.select(target, now, &idle)?;
+            let connection = endpoint.idle.remove(first + index);
+            let Some(reason) = connection.defect() else { return Some(connection) };
+            connection.log_close(reason);
+            match reason {
+                CloseReason::UnexpectedBytes => self.reuse.unasked_response(target, now),
+                _ => endpoint.idle_timeout.closed_after(connection.idle_time()),
+            }
+        }
+    }
+
+    /// Records that a target has sent a response that no request had asked for.
+    pub fn unasked_response(&mut self, target: TargetId) {
+        self.reuse.unasked_response(target, self.clock.now());
     }
 
     /// Records the end of a call on a connection that had been idle for `idle`, or was new and took
@@ -452,14 +499,15 @@
         else {
             return 0;
         };
-        let max_idle = Duration::from_micros(e.idle_timeout.max_idle(self.clock.now()));
+        let max_idle = e.idle_timeout.max_idle(self.clock.now());
         // The clock is read once for all connections: this runs with each call.
-        let now = Instant::now();
-        let reusable = |c: &&Connection| now.saturating_duration_since(c.idle_since) <= max_idle;
-        let reusable_count = e.idle.iter().filter(reusable).filter(|c| !c.sender.is_closed()).count();
+        let (now, instant) = (self.clock.now(), Instant::now());
+        let open = e.idle.iter().filter(|c| !c.sender.is_closed()).map(|c| c.as_idle(instant));
+        let recent: Vec<_> = open.filter(|c| c.idle <= max_idle).collect();
+        let ready = self.reuse.ready(target, now, &recent);
         let counts = ConnectionCounts {
-            in_use: e.in_flight,
-            idle: reusable_count,
+            in_use: e.in_flight + recent.len() - ready,
+            idle: ready,
             dialling: e.dials.len(),
             max: pool_settings.max_per_target,
         };
@@ -495,6 +543,10 @@
             let jitter = 0.75 + 0.25 * fastrand::f64();
             connection.retire_at = Some(connection.opened + pool_settings.max_age.mul_f64(jitter));
         }
+        let used = connection.id.earlier_calls > 0;
+        if used && self.reuse.is_single_use(target, self.clock.now()) {
+            return connection.log_close(CloseReason::SingleUse);
+        }
         let idle = &mut self.endpoint(target).idle;
         let position = idle.partition_point(|c| c.idle_since <= connection.idle_since);
         idle.insert(position, connection);
@@ -533,6 +585,7 @@
     /// caller can check whether more are needed.
     pub fn sweep(&mut self) -> Vec<TargetId> {
         self.reset_stats.decay();
+        self.reuse.sweep(self.clock.now());
         self.drop_expired();
         self.by_target.keys().copied().collect()
     }
@@ -541,25 +594,18 @@
     /// is learned from what is seen of them.
     fn drop_expired(&mut self) {
         let (now, max_idle, learning) = (Instant::now(), self.max_idle, self.pool_settings.is_some());
-        for endpoint in self.by_target.values_mut() {
+        for (target, endpoint) in &mut self.by_target {
             let idle_timeout = &mut endpoint.idle_timeout;
-            endpoint.idle.retain(|c| {
-                let closed = c.sender.is_closed();
-                match closed {
-                    true => idle_timeout.closed_after(c.idle_time()),
-                    false => idle_timeout
-                        .open_after(now.saturating_duration_since(c.idle_since).as_micros() as u64),
+            endpoint.idle.retain(|connection| {
+                let reason = connection.expiry(now, max_idle);
+                match reason {
+                    Some(CloseReason::UnexpectedBytes) => {
+                        self.reuse.unasked_response(*target, self.clock.now())
+                    }
+                    Some(CloseReason::ClosedByTarget) => idle_timeout.closed_after(connection.idle_time()),
+                    _ => idle_timeout.open_after(connection.as_idle(now).idle),
                 }
-                let reason = if closed {
-                    Some(c.defect().unwrap_or(CloseReason::ClosedByTarget))
-                } else if now >= c.idle_since + max_idle {
-                    Some(CloseReason::IdleTooLong)
-                } else if c.retire_at.is_some_and(|at| now >= at) {
-                    Some(CloseReason::TooOld)
-                } else {
-                    None
-                };
-                reason.into_iter().for_each(|reason| c.log_close(reason));
+                reason.into_iter().for_each(|reason| connection.log_close(reason));
                 reason.is_none()
             });
         }
--- a/src/bin/foldtrack/delivery_log.rs
+++ b/src/bin/foldtrack/delivery_log.rs
@@ -22,6 +22,8 @@
     TooOld,
     /// The pool or the descriptors are used up.
     PoolFull,
+    /// The target has sent a response that no request asked for: its connections carry one call.
+    SingleUse,
     /// Nothing new is sent to the target, or the scheduler closes its idle connections.
     TargetClosed,
 }
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -177,6 +177,8 @@
     pub idle_for: Option<Duration>,
     /// How long a new connection took to establish; none for a reused one.
     pub connect_time: Option<Duration>,
+    /// Something arrived on the connection that no request had asked for.
+    pub unasked_response: bool,
     /// A connection that is fit for the next call.
     pub reusable_connection: Option<Connection>,
 }
--- a/src/bin/foldtrack/node/calls.rs
+++ b/src/bin/foldtrack/node/calls.rs
@@ -248,6 +248,9 @@
     pub(super) fn call_ended(&mut self, end: CallEnd) {
         self.calls.remove(&(end.number, end.attempt));
         self.pool.call_ended(end.target, end.idle_for, end.connect_time, end.outcome);
+        if end.unasked_response {
+            self.pool.unasked_response(end.target);
+        }
         self.record_attempt_end(&end);
         let took = self.clock.now().saturating_sub(self.clock.micros(end.started_at));
         if let Some(held) = self.messages.get_mut(&end.number) {
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -173,6 +173,7 @@
         preconnect: parts.site.calls.open_ahead,
         max_per_target: (slots / 4).max(2),
         max_age: Duration::from_micros(parts.site.calls.connection_age),
+        rest: Duration::from_micros(parts.site.calls.connection_rest),
     });
     let site = config.site.map(|parts| SiteRuntime::new(parts, outcome_sequence, config.memory_bytes as u64));
     let name = if site.is_some() { MAX_NAME_BYTES } else { 0 };
