Ask discovery on a new connection each time, so that no copy of a list counts as newer

A watch reused the connection of the last answer. A copy of an older list that came as the answer to a watch had the whole list asked for on the same connection, where a second copy was then taken in as whole and new: a target that had left was sent to. Ruled out: notices, which had a connection each before; the version check alone, since it can't tell a copy from versions that begin anew. Change: a request of discovery has a connection of its own. What a connection that ends at once means stays as it was.

--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -185,9 +185,15 @@
         }
     }
 
+    /// Reads a response to its end. What follows it on the connection is not looked at.
+    pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
+        let body = Limited::new(body, limit).collect().await;
+        Some(body.ok()?.to_bytes())
+    }
+
     /// Reads a response to its end and waits until the next request may be sent.
     pub async fn finish(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        let body = Limited::new(body, limit).collect().await.ok()?.to_bytes();
+        let body = self.read_body(body, limit).await?;
         self.sender.ready().await.ok()?;
         self.idle_since = Instant::now();
         Some(body)
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -34,23 +34,17 @@
 /// normally answers at once. A duplicate notice does no harm, but a late one breaks a rule.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Sends a request to the agent. `connection` keeps the connection unless the exchange failed.
+/// Sends a request to the agent, on a connection of its own: what arrives there is the answer to
+/// this request and to no other. `ended` is what a connection that ends without an answer means.
 async fn exchange(
-    connection: &mut Option<Connection>, address: SocketAddr, request: Request<Full<Bytes>>,
+    address: SocketAddr, request: Request<Full<Bytes>>, ended: PollFailure,
 ) -> Result<(StatusCode, Bytes), PollFailure> {
-    let reused = connection.take();
-    // On a new connection this means that nobody serves the address. A reused connection may have
-    // been closed meanwhile, which says nothing about the next one.
-    let ended = if reused.is_some() { PollFailure::NoResponse } else { PollFailure::Rejected };
-    let mut open = match reused {
-        Some(open) => open,
-        None => Connection::open(address, None, None).await.map_err(|_| PollFailure::NoResponse)?,
-    };
-    let response = open.send(request).await.map_err(|_| ended)?;
+    let opened = Connection::open(address, None, None).await;
+    let mut connection = opened.map_err(|_| PollFailure::NoResponse)?;
+    let response = connection.send(request).await.map_err(|_| ended)?;
     let status = response.status();
-    let body = timeout(BODY_TIMEOUT, open.finish(response.into_body(), MAX_LIST_BYTES)).await;
+    let body = timeout(BODY_TIMEOUT, connection.read_body(response.into_body(), MAX_LIST_BYTES)).await;
     let body = body.ok().flatten().ok_or(PollFailure::NoResponse)?;
-    *connection = Some(open);
     Ok((status, body))
 }
 
@@ -124,8 +118,10 @@
 
 /// Watches the list at one address, starting with the whole list.
 async fn watch_at(address: SocketAddr, schedule: &mut DiscoverySchedule, events: &EventSender) {
-    let mut connection = None;
     let mut version: Option<u64> = None;
+    // Without an answer before, a connection that ends at once means that nobody serves the
+    // address. Later it may end for reasons that say nothing about the next one.
+    let mut ended = PollFailure::Rejected;
     loop {
         let (path, wait) = match version {
             Some(v) => {
@@ -137,16 +133,19 @@
         let asked = Instant::now();
         let answer = match get_request(address, &path) {
             Some(request) => {
-                let answer = timeout(wait, exchange(&mut connection, address, request)).await;
+                let answer = timeout(wait, exchange(address, request, ended)).await;
                 answer.unwrap_or(Err(PollFailure::NoResponse))
             }
             None => Err(PollFailure::NoResponse),
         };
         let (status, body) = match answer {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                ended = PollFailure::NoResponse;
+                answer
+            }
             Err(failure) => {
                 // The list stays in force, and the watch continues from its version.
-                connection = None;
+                ended = PollFailure::Rejected;
                 sleep(schedule.failed(failure, asked.elapsed())).await;
                 continue;
             }
@@ -211,6 +210,6 @@
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(lines)));
-    let answer = timeout(REPORT_TIMEOUT, exchange(&mut None, address, request.ok()?)).await;
+    let answer = timeout(REPORT_TIMEOUT, exchange(address, request.ok()?, PollFailure::Rejected)).await;
     answer.ok()?.ok().map(|(status, _)| status)
 }
--- a/tests/forwarder/discovery.rs
+++ b/tests/forwarder/discovery.rs
@@ -5,10 +5,11 @@
 use super::world::*;
 use super::MS;
 use serde_json::{json, Value};
+use std::collections::HashSet;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -145,6 +146,44 @@
     assert!(changed.old.seen().is_empty());
 }
 
+/// Second copies of an old list were taken for the answers to a watch and to the request for the
+/// whole list behind it, both on the connection that had carried that list.
+#[test]
+fn copies_of_an_old_list_do_not_reactivate_a_drained_target() {
+    let (old, new) = (Server::start(|_| OK), Server::start(|_| OK));
+    let first = vec![list_entry("s-1", old.address, 1, "active")];
+    let second = vec![list_entry("s-1", old.address, 1, "left"), list_entry("s-2", new.address, 1, "active")];
+    let (carried_first_list, watches) = (Mutex::new(HashSet::new()), AtomicUsize::new(0));
+    let known = first.clone();
+    let discovery = Server::start(move |request| {
+        let mut carried = carried_first_list.lock().unwrap();
+        match request.path.as_str() {
+            path if path.contains("since=1") => match watches.fetch_add(1, Ordering::SeqCst) {
+                0 => Reply::Body(list_of(2, &second).into()),
+                // Its answer would come behind that of the watch that was answered by a copy.
+                _ => Reply::Silence,
+            },
+            path if path.contains("since=2") && !carried.contains(&request.connection) => Reply::Silence,
+            _ if carried.is_empty() || carried.contains(&request.connection) => {
+                carried.insert(request.connection);
+                Reply::Body(list_of(1, &first).into())
+            }
+            _ => Reply::Body(list_of(2, &second).into()),
+        }
+    });
+    let platform = Platform::start(known);
+    let forwarder = Forwarder::start_with(&platform, |config| {
+        config["discovery"] = discovery.address.to_string().into();
+    });
+    eventually("the second list has arrived", || discovery.seen().iter().any(|r| r.path.contains("since=2")));
+    std::thread::sleep(MS(500));
+    for n in 0..8 {
+        assert_eq!(forwarder.submit(&fee(&format!("m{n}"))), 202);
+    }
+    eventually("they are sent", || old.seen().len() + new.seen().len() == 8);
+    assert!(old.seen().is_empty(), "calls to a target that has left");
+}
+
 /// A list may be indented, arrive in small pieces, and be a full list in place of the changes.
 #[test]
 fn a_full_list_in_place_of_changes_may_be_indented_and_fragmented() {
