--- a/tests/forwarder/responses.rs
+++ b/tests/forwarder/responses.rs
@@ -8,6 +8,7 @@
 use foldtrack_standin::call_records::{Call, CallOutcome};
 use foldtrack_standin::{FailureKind, Partner, PartnerBehavior};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::thread;
 
@@ -62,7 +63,7 @@
 }
 
 /// A client that submits messages of its own key and payments in turn until the load ends.
-fn submit_until(end: Instant, client: usize, forwarder: &Forwarder, accepted: &Mutex<Vec<Accepted>>) {
+fn submit_until(end: Instant, client: usize, forwarder: SocketAddr, accepted: &Mutex<Vec<Accepted>>) {
     let destination = 1 + client as u32 % PARTNERS;
     let (key, mut position) = (format!("k{client}"), 0);
     for n in 0.. {
@@ -75,7 +76,7 @@
         let body = format!("key={key};seq={position};class=update;");
         let body = if is_update { body.into_bytes() } else { b"class=fee;".to_vec() };
         let submission = submission.for_destination(destination).deadline_ms(DEADLINE_MS).body(body);
-        if forwarder.submit(&submission) == 202 {
+        if submit(forwarder, &submission) == 202 {
             let key = if is_update { key.clone() } else { String::new() };
             accepted.lock().unwrap().push(Accepted { id, key, position });
             position += u64::from(is_update);
@@ -129,9 +130,9 @@
     breaches
 }
 
-/// Plays a load against partners whose responses suffer these faults. Returns the breaches and the
-/// number of calls.
-fn play(seed: u64, share: f64, kinds: &[ResponseFault]) -> (Breaches, usize) {
+/// Plays a load against partners whose responses suffer these faults, and kills and restarts the
+/// forwarder so many times. Returns the breaches and the number of calls.
+fn play(seed: u64, share: f64, kinds: &[ResponseFault], kills: u32) -> (Breaches, usize) {
     let partners: Vec<Partner> =
         (0..PARTNERS).map(|n| failing_partner(seed * u64::from(PARTNERS) + u64::from(n))).collect();
     let list = partners.iter().zip(1..).map(|(partner, cell)| {
@@ -140,15 +141,20 @@
         list_entry(&format!("s-{cell}"), address, cell, "active")
     });
     let platform = Platform::start(list.collect());
-    let forwarder = Forwarder::start_with(&platform, |config| {
+    let mut forwarder = Forwarder::start_with(&platform, |config| {
         config["settings"]["family_info"]["slots"] = 96.into();
     });
     let accepted = Mutex::new(Vec::new());
     let end = Instant::now() + LOAD;
     thread::scope(|scope| {
         for client in 0..CLIENTS {
-            let (forwarder, accepted) = (&forwarder, &accepted);
-            scope.spawn(move || submit_until(end, client, forwarder, accepted));
+            let (address, accepted) = (forwarder.listen, &accepted);
+            scope.spawn(move || submit_until(end, client, address, accepted));
+        }
+        for _ in 0..kills {
+            sleep(LOAD / (kills + 1));
+            forwarder.kill();
+            forwarder.restart();
         }
     });
     sleep(MS(DEADLINE_MS) + END_GRACE);
@@ -159,40 +165,51 @@
     (find_breaches(&accepted, &calls, &platform), calls.len())
 }
 
+/// Plays each seed and expects no breach.
+fn assert_no_breaches(share: f64, kinds: &[ResponseFault], kills: u32) {
+    for seed in seeds() {
+        let (breaches, calls) = play(seed, share, kinds, kills);
+        println!("seed {seed}: {calls} calls");
+        assert_eq!(breaches, Breaches::default(), "seed {seed}, {kinds:?}");
+    }
+}
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const ALL_KINDS: [ResponseFault; 10] = [
+    ResponseFault::CopiedAtOnce,
+    ResponseFault::CopiedLater(millis(1), millis(60)),
+    ResponseFault::Late(millis(50), millis(500)),
+    ResponseFault::InPieces,
+    ResponseFault::ResetAfterFirstLine,
+    ResponseFault::UnaskedTimeout(millis(1), millis(60)),
+    ResponseFault::UnaskedSuccess(millis(1), millis(60)),
+    ResponseFault::Interim,
+    ResponseFault::SurplusBytes,
+    ResponseFault::Dropped,
+];
+
 #[test]
 fn a_second_copy_of_a_response_ends_no_later_call() {
-    for seed in seeds() {
-        for latest in [15, 101, 900] {
-            let (breaches, calls) = play(seed, 0.2, &[ResponseFault::CopiedLater(MS(1), MS(latest))]);
-            println!("seed {seed}, copies up to {latest} ms late: {calls} calls");
-            assert_eq!(breaches, Breaches::default(), "seed {seed}, copies up to {latest} ms late");
-        }
+    for latest in [15, 101, 900] {
+        assert_no_breaches(0.2, &[ResponseFault::CopiedLater(millis(1), millis(latest))], 0);
     }
 }
 
 #[test]
 fn late_cut_and_unasked_responses_break_no_rule() {
-    let kinds = [
-        ResponseFault::CopiedAtOnce,
-        ResponseFault::CopiedLater(MS(1), MS(60)),
-        ResponseFault::Late(MS(50), MS(500)),
-        ResponseFault::InPieces,
-        ResponseFault::ResetAfterFirstLine,
-        ResponseFault::UnaskedTimeout(MS(1), MS(60)),
-        ResponseFault::UnaskedSuccess(MS(1), MS(60)),
-        ResponseFault::Interim,
-        ResponseFault::SurplusBytes,
-        ResponseFault::Dropped,
-    ];
-    for seed in seeds() {
-        let (breaches, calls) = play(seed, 0.25, &kinds);
-        println!("seed {seed}: {calls} calls");
-        assert_eq!(breaches, Breaches::default(), "seed {seed}");
-    }
+    assert_no_breaches(0.25, &ALL_KINDS, 0);
+}
+
+#[test]
+fn late_cut_and_unasked_responses_break_no_rule_over_kills() {
+    assert_no_breaches(0.25, &ALL_KINDS, 2);
 }
 
 #[test]
 fn partners_that_fail_without_faults_of_their_responses_break_no_rule() {
-    let (breaches, _) = play(1, 0.0, &[]);
+    let (breaches, _) = play(1, 0.0, &[], 0);
     assert_eq!(breaches, Breaches::default());
 }
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -278,11 +278,7 @@
 
     /// Sends bytes on a new connection and returns the response until the connection is closed.
     pub fn exchange(&self, bytes: &[u8]) -> String {
-        let Ok(mut stream) = TcpStream::connect(self.listen) else { return String::new() };
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let mut answer = Vec::new();
-        let _ = stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut answer).map(drop));
-        String::from_utf8_lossy(&answer).into_owned()
+        exchange(self.listen, bytes)
     }
 
     /// Opens a keep-alive connection.
@@ -294,11 +290,26 @@
 
     /// Submits a message and returns the status of the response, 0 if there was none.
     pub fn submit(&self, submission: &Submission) -> u16 {
-        let answer = self.exchange(&submission.bytes());
-        answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        submit(self.listen, submission)
     }
 }
 
+/// Sends bytes on a new connection and returns the response until the connection is closed.
+fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut answer).map(drop));
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Submits a message to the forwarder at an address, which may be restarting meanwhile. Returns the
+/// status of the response, 0 if there was none.
+pub fn submit(address: SocketAddr, submission: &Submission) -> u16 {
+    let answer = exchange(address, &submission.bytes());
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
 impl Drop for Forwarder {
     fn drop(&mut self) {
         let _ = self.child.kill();
