--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -357,8 +357,10 @@
                 entry["status"] = -3
                 self.record(f"closed {message}")
                 return entry
-            entry["status"] = int(head[0].split(" ")[1])
-            entry["answered"] = now()
+            entry["status"], entry["answered"] = int(head[0].split(" ")[1]), now()
+            if entry["answered"] - entry["sent"] > 0.4:
+                # The client had closed the connection by then.
+                entry["status"] = -1
             self.record(f"answered {message} {entry['status']}")
             length = int(head[1].get("content-length", "0"))
             if length:
