--- a/review/2/case.py
+++ b/review/2/case.py
@@ -66,8 +66,12 @@
         async def load():
             while now() - start[0] < LOAD_TO:
                 dest = 1 if draw.random() < 0.24 else draw.randint(2, PARTNERS)
-                tasks.append(asyncio.create_task(
-                    client.submit(forwarder, "fee-payment", dest, DEADLINE_MS, body=BODY)))
+                if draw.random() < 0.44:
+                    message = client.submit(forwarder, "fee-payment", dest, DEADLINE_MS, body=BODY)
+                else:
+                    message = client.submit(forwarder, "submission-update", dest, DEADLINE_MS,
+                                            key=f"{draw.random():.12f}", body=BODY)
+                tasks.append(asyncio.create_task(message))
                 await asyncio.sleep(draw.expovariate(RATE))
 
         async def watch():
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
 cd "$(dirname "$0")" || exit 2
-exec python3 case.py
+command -v python3 > /dev/null || exit 2
+exec python3 ../lib/guard.py
