Bound what a target may send before its response, and how long a connection is read

Cause: a connection that always finds more bytes was read for as long as the runtime lets a task run, 128 reads; hyper skips interim responses inside that loop. Traced on that build: 2,726 turns, 8.8 ms each in the mean, 126 reads and 3.1 MB; the event loop came up to 571 ms late, while its own turns took 0.5 ms at most. Nothing bounded how many such turns one call could take, up to its deadline. Profile: hyper's and httparse's parsing of response heads, no disk, no lock.

Change: a connection reads 16 KiB, then waits in a queue of which four connections go on in each round of the runtime; between rounds sockets, timers and ready tasks get their turn (read_turns.rs), at targets, discovery and clients. The runtime looks at the sockets after 16 polls of tasks, 61 before. More than 128 KiB before a response, or on an idle connection, end the connection: the call is unreadable, the log says TooMuchBeforeResponse. TLS records without data count too. Complete interim responses are dropped from the bytes kept of a response, so that the head of the final one is found behind any number of them.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -29,6 +29,9 @@
 /// Delay between the last byte of a response and the reset of [`Reply::RawAndReset`].
 const RESET_DELAY: Duration = Duration::from_millis(20);
 
+/// Size of one write of [`Reply::Endless`].
+const ENDLESS_BLOCK_BYTES: usize = 64 * 1024;
+
 /// A received request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -66,6 +69,8 @@
     InPieces(Vec<u8>, usize),
     /// Writes these bytes as they are.
     Raw(&'static [u8]),
+    /// Writes these bytes again and again until the connection is closed.
+    Endless(&'static [u8]),
     /// Writes these bytes and resets the connection 20 ms later.
     RawAndReset(&'static [u8]),
     /// Responds with 200 and closes the connection without `Connection: close`.
@@ -199,6 +204,11 @@
                     continue;
                 }
                 Reply::Raw(bytes) => bytes.to_vec(),
+                Reply::Endless(bytes) => {
+                    let block = bytes.repeat(ENDLESS_BLOCK_BYTES.div_ceil(bytes.len().max(1)));
+                    while stream.write_all(&block).is_ok() {}
+                    return;
+                }
                 Reply::Later(after, code) => {
                     thread::sleep(after);
                     status(code, "", b"")
--- a/src/bin/foldtrack/call.rs
+++ b/src/bin/foldtrack/call.rs
@@ -209,7 +209,12 @@
             Err(SendError::ConnectionLost | SendError::Refused(_)) => {
                 Err(NoResponse::Outcome(Outcome::Reset))
             }
-            Err(SendError::UnreadableResponse) => Err(NoResponse::Outcome(Outcome::UnreadableResponse)),
+            Err(SendError::UnreadableResponse) => {
+                if connection.tap.exceeds_limit() {
+                    connection.log_close(CloseReason::TooMuchBeforeResponse);
+                }
+                Err(NoResponse::Outcome(Outcome::UnreadableResponse))
+            }
         }
     };
     let response = tokio::select! {
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -123,9 +123,10 @@
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Errors reach the call in flight; between calls they only end the connection.
         let end = Arc::new(OnceLock::new());
-        let end_cell = end.clone();
+        let (end_cell, end_tap) = (end.clone(), tap.clone());
         let driver = tokio::spawn(async move {
             let reason = match connection.await {
+                Err(_) if end_tap.exceeds_limit() => CloseReason::TooMuchBeforeResponse,
                 Err(error) if is_unexpected_message(&error) => CloseReason::UnexpectedBytes,
                 _ => CloseReason::ClosedByTarget,
             };
@@ -150,7 +151,7 @@
 
     /// Sends a request and waits for the head of its response.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.tap.start_request();
+        self.tap.forget_response();
         self.id.earlier_calls += 1;
         let unread = async {
             self.tap.wait_for_response().await;
@@ -161,7 +162,9 @@
             answer = self.sender.try_send_request(request) => {
                 answer.map_err(|mut error| match error.take_message() {
                     Some(_) => SendError::Unsent,
-                    None if self.tap.response_started() => SendError::UnreadableResponse,
+                    None if self.tap.response_started() || self.tap.exceeds_limit() => {
+                        SendError::UnreadableResponse
+                    }
                     None => handshake_rejection(&error.into_error())
                         .map_or(SendError::ConnectionLost, SendError::Refused),
                 })
@@ -182,6 +185,7 @@
     pub async fn finish(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
         let body = self.read_body(body, limit).await?;
         self.sender.ready().await.ok()?;
+        self.tap.forget_response();
         self.idle_since = Instant::now();
         Some(body)
     }
--- a/src/bin/foldtrack/connections/pool.rs
+++ b/src/bin/foldtrack/connections/pool.rs
@@ -160,6 +160,7 @@
             connection.log_close(reason);
             match reason {
                 CloseReason::UnexpectedBytes => self.reuse.unasked_response(target, now),
+                CloseReason::TooMuchBeforeResponse => {}
                 _ => endpoint.idle_timeout.closed_after(connection.idle_time()),
             }
         }
--- a/src/bin/foldtrack/delivery_log.rs
+++ b/src/bin/foldtrack/delivery_log.rs
@@ -16,6 +16,8 @@
     ResponseUnfinished,
     /// Bytes arrived that answer no request.
     UnexpectedBytes,
+    /// Interim responses or TLS records without data went on for too long.
+    TooMuchBeforeResponse,
     /// It was idle for too long, by the settings or by what was learned of resets.
     IdleTooLong,
     /// It has reached its maximum age.
@@ -93,7 +95,7 @@
     let ConnectionId { number, earlier_calls } = connection;
     let idle_us = idle.as_micros() as u64;
     match reason {
-        CloseReason::UnexpectedBytes => {
+        CloseReason::UnexpectedBytes | CloseReason::TooMuchBeforeResponse => {
             tracing::warn!(connection = number, earlier_calls, idle_us, ?reason, "connection closed")
         }
         _ => tracing::info!(connection = number, earlier_calls, idle_us, ?reason, "connection closed"),
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -27,6 +27,7 @@
 mod partner_protocol;
 mod peers;
 mod platform;
+mod read_turns;
 mod registry;
 mod serve;
 mod streams;
@@ -41,6 +42,9 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 
+/// Task polls between two looks at the sockets and timers, and so between two turns of the event loop, while tasks are ready
+/// all the time.
+const TASKS_PER_SOCKET_POLL: u32 = 16;
 /// Attempts to read a configuration file. It may be half written when it is read.
 const CONFIG_READ_ATTEMPTS: u32 = 5;
 /// Pause between two attempts.
@@ -90,7 +94,11 @@
 
 /// Creates a single-threaded runtime: the forwarder has one core.
 fn runtime() -> Result<Runtime, String> {
-    Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+    Builder::new_current_thread()
+        .event_interval(TASKS_PER_SOCKET_POLL)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())
 }
 
 /// Runs as a platform starts it: without arguments, configured by environment variables.
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's agent: watches the list of targets and reports how messages ended.
 
-use crate::connections::Connection;
+use crate::connections::{Connection, SendError};
 use crate::discovery_schedule::{DiscoverySchedule, PollFailure, Source};
 use crate::events::{EventSender, LoopEvent};
 use crate::list::ServerList;
@@ -41,7 +41,10 @@
 ) -> Result<(StatusCode, Bytes), PollFailure> {
     let opened = Connection::open(address, None, None).await;
     let mut connection = opened.map_err(|_| PollFailure::NoResponse)?;
-    let response = connection.send(request).await.map_err(|_| ended)?;
+    let response = connection.send(request).await.map_err(|error| match error {
+        SendError::UnreadableResponse => PollFailure::NoResponse,
+        SendError::Unsent | SendError::ConnectionLost | SendError::Refused(_) => ended,
+    })?;
     let status = response.status();
     let body = timeout(BODY_TIMEOUT, connection.read_body(response.into_body(), MAX_LIST_BYTES)).await;
     let body = body.ok().flatten().ok_or(PollFailure::NoResponse)?;
--- a/src/bin/foldtrack/streams.rs
+++ b/src/bin/foldtrack/streams.rs
@@ -2,6 +2,7 @@
 //! bytes of a response that it can't parse.
 
 mod client;
+mod response_head;
 mod target;
 
 pub(crate) use client::{HeadScan, ScannedStream};
--- a/src/bin/foldtrack/streams/client.rs
+++ b/src/bin/foldtrack/streams/client.rs
@@ -1,6 +1,7 @@
 //! The byte stream of a client below hyper's server: header lines that hyper drops, and clients that do not read.
 
 use super::field;
+use crate::read_turns::ReadTurn;
 use foldtrack_admission::pace::{MinimumRate, SlowReaderGuard};
 use std::future::Future;
 use std::io;
@@ -119,6 +120,7 @@
 pub(crate) struct ScannedStream {
     stream: TcpStream,
     scan: HeadScan,
+    turn: ReadTurn,
     started: Instant,
     guard: SlowReaderGuard,
     /// Runs while response bytes wait for the client.
@@ -130,6 +132,7 @@
         ScannedStream {
             stream,
             scan,
+            turn: ReadTurn::new(),
             started: Instant::now(),
             guard: SlowReaderGuard::new(MINIMUM_RATE),
             stalled: None,
@@ -158,7 +161,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        let stream = Pin::new(&mut this.stream);
+        ready!(this.turn.poll_read(cx, buf, |cx, buf| stream.poll_read(cx, buf)))?;
         this.scan.read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
--- a/src/bin/foldtrack/streams/target.rs
+++ b/src/bin/foldtrack/streams/target.rs
@@ -1,28 +1,32 @@
 //! The byte stream of a target below hyper's client: the first bytes of a response, which hyper does not expose if it can't
 //! parse the rest.
 
-use super::field;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use super::response_head::ResponseHead;
+use crate::lock::lock_ignoring_poison;
+use crate::read_turns::ReadTurn;
+use http::HeaderMap;
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Bytes kept of a response: its head, after a few interim responses.
-const MAX_TAPPED_BYTES: usize = 4096;
+/// Bytes read at once before a call is given up.
+const PENDING_BYTES: usize = 4096;
+/// Text of the error that ends such a connection.
+const TOO_MUCH_BEFORE_RESPONSE: &str = "too many bytes before the response";
 
 /// The socket of a target, with the first bytes received since the last request.
 #[derive(Debug)]
 pub(crate) struct ResponseTap {
-    stream: Arc<TcpStream>,
-    received: Mutex<Vec<u8>>,
+    stream: TcpStream,
+    response: Mutex<ResponseHead>,
     arrival: Notify,
     /// The bytes on the socket are TLS records.
     encrypted: bool,
@@ -30,21 +34,16 @@
 
 impl ResponseTap {
     pub fn new(stream: TcpStream, encrypted: bool) -> Arc<ResponseTap> {
-        Arc::new(ResponseTap {
-            stream: Arc::new(stream),
-            received: Mutex::default(),
-            arrival: Notify::new(),
-            encrypted,
-        })
+        Arc::new(ResponseTap { stream, response: Mutex::default(), arrival: Notify::new(), encrypted })
     }
 
-    fn received(&self) -> MutexGuard<'_, Vec<u8>> {
-        self.received.lock().unwrap_or_else(PoisonError::into_inner)
+    fn response(&self) -> MutexGuard<'_, ResponseHead> {
+        lock_ignoring_poison(&self.response)
     }
 
     /// The raw socket, for TLS or for hyper.
-    pub fn socket(&self) -> SharedSocket {
-        SharedSocket(self.stream.clone())
+    pub fn socket(self: &Arc<Self>) -> SharedSocket {
+        SharedSocket { tap: self.clone(), turn: ReadTurn::new() }
     }
 
     /// Makes the connection end by a reset, since its call is given up. After an ordinary close the
@@ -52,41 +51,22 @@
     /// long after it was sent again, or after its client was told that it failed.
     pub fn reset_on_close(&self) {
         // A socket that rejects the option is closed in the ordinary way.
-        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 
-    /// Forgets the bytes of the previous response; called before a request is sent.
-    pub fn start_request(&self) {
-        self.received().clear();
+    /// Forgets the previous response: a request is sent next, or the connection becomes idle.
+    pub fn forget_response(&self) {
+        *self.response() = ResponseHead::default();
     }
 
     /// The status of the response, read from its first line, whatever follows.
     pub fn status(&self) -> Option<u16> {
-        let received = self.received();
-        let line = skip_interim(&received).strip_prefix(b"HTTP/1.").unwrap_or_default();
-        let [b'0' | b'1', b' ', a, b, c, b' ' | b'\r' | b'\n', ..] = line else { return None };
-        let status = [*a, *b, *c];
-        let digits = status.iter().all(u8::is_ascii_digit);
-        std::str::from_utf8(&status).ok().filter(|_| digits)?.parse().ok()
+        self.response().status()
     }
 
-    /// The status and those header lines of the response that have arrived, whether or not the rest
-    /// does. Unparsable lines are skipped, and a truncated one is ignored.
+    /// The status and those header lines of the response that have arrived.
     pub fn head(&self) -> Option<(u16, HeaderMap)> {
-        let status = self.status()?;
-        let received = self.received();
-        let mut headers = HeaderMap::new();
-        for line in skip_interim(&received).split_inclusive(|b| *b == b'\n').skip(1) {
-            let Some(line) = line.strip_suffix(b"\n").map(<[u8]>::trim_ascii) else { break };
-            if line.is_empty() {
-                break;
-            }
-            let (name, value) = field(line);
-            if let (Ok(name), Ok(value)) = (HeaderName::from_bytes(name), HeaderValue::from_bytes(value)) {
-                headers.append(name, value);
-            }
-        }
-        Some((status, headers))
+        self.response().status_and_headers()
     }
 
     /// Reads what the socket has received but nobody has read yet, before the call is given up: a
@@ -95,16 +75,20 @@
         if self.encrypted {
             return;
         }
-        let mut received = self.received();
-        let (mut bytes, kept) = ([0; MAX_TAPPED_BYTES], received.len());
-        if let Ok(count) = (&*SockRef::from(&*self.stream)).read(&mut bytes) {
-            received.extend_from_slice(&bytes[..count.min(MAX_TAPPED_BYTES.saturating_sub(kept))]);
+        let mut bytes = [0; PENDING_BYTES];
+        if let Ok(count) = (&*SockRef::from(&self.stream)).read(&mut bytes) {
+            self.response().receive(&bytes[..count]);
         }
     }
 
     /// Whether a response has started, interim ones excluded.
     pub fn response_started(&self) -> bool {
-        !skip_interim(&self.received()).is_empty()
+        self.response().has_started()
+    }
+
+    /// Whether the target has sent too much that is no response. The connection ends then.
+    pub fn exceeds_limit(&self) -> bool {
+        self.response().exceeds_limit()
     }
 
     /// Waits until a response has started.
@@ -117,7 +101,7 @@
     /// What the socket has received that nobody has read yet. Asks the socket itself, since the
     /// runtime may not know yet.
     pub fn unread(&self) -> Unread {
-        match SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]) {
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
             Ok(1..) if self.encrypted => Unread::Record,
             Ok(1..) => Unread::Bytes,
@@ -139,31 +123,37 @@
     End,
 }
 
-/// Skips complete interim responses (100 to 199).
-fn skip_interim(mut bytes: &[u8]) -> &[u8] {
-    while let [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', b'1', ..] = bytes {
-        let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else { return &[] };
-        bytes = &bytes[end + 4..];
-    }
-    bytes
-}
-
 /// The socket of a connection, shared with its [`ResponseTap`].
 #[derive(Debug)]
-pub(crate) struct SharedSocket(Arc<TcpStream>);
+pub(crate) struct SharedSocket {
+    tap: Arc<ResponseTap>,
+    turn: ReadTurn,
+}
 
 impl AsyncRead for SharedSocket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
+        let SharedSocket { tap, turn } = self.get_mut();
+        if tap.exceeds_limit() {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, TOO_MUCH_BEFORE_RESPONSE)));
+        }
+        let before = buf.filled().len();
+        ready!(turn.poll_read(cx, buf, |cx, buf| poll_read_socket(&tap.stream, cx, buf)))?;
+        tap.response().count_socket_bytes(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Reads from a socket that is shared.
+fn poll_read_socket(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read(buf.initialize_unfilled()) {
+            Ok(count) => {
+                buf.advance(count);
+                return Poll::Ready(Ok(()));
             }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Poll::Ready(Err(e)),
         }
     }
 }
@@ -171,8 +161,8 @@
 impl AsyncWrite for SharedSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(bytes) {
+            ready!(self.tap.stream.poll_write_ready(cx))?;
+            match self.tap.stream.try_write(bytes) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 done => return Poll::Ready(done),
             }
@@ -184,7 +174,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Both))
+        Poll::Ready(SockRef::from(&self.tap.stream).shutdown(Shutdown::Both))
     }
 }
 
@@ -207,11 +197,7 @@
         let this = self.get_mut();
         let before = buf.filled().len();
         ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        let arrived = &buf.filled()[before..];
-        let mut received = this.tap.received();
-        let kept = arrived.len().min(MAX_TAPPED_BYTES.saturating_sub(received.len()));
-        received.extend_from_slice(&arrived[..kept]);
-        drop(received);
+        this.tap.response().receive(&buf.filled()[before..]);
         this.tap.arrival.notify_one();
         Poll::Ready(Ok(()))
     }
@@ -230,3 +216,7 @@
         Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+#[path = "target_tests.rs"]
+mod tests;
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -3,6 +3,7 @@
 
 mod deployments;
 mod discovery;
+mod endless;
 mod logs;
 mod responses;
 mod shutdown;
