Ask discovery at most once in 50 ms also if each answer brings news

An agent that answers every watch at once with another list was asked again at once: 1,086 times in 4 s in the test, each with a connection, a list to parse and a decision of the scheduler. Only answers without news were followed by a pause. The least interval between two watches now holds for both. The test failed before.

--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -23,7 +23,7 @@
 /// Timeout of a request for the whole list. Discovery gives up a call after two seconds; leaving
 /// earlier would waste its work.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Minimum interval between watches, for an agent that answers each at once without news.
+/// Minimum interval between watches, for an agent that answers each at once, with or without news.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a list in bytes.
 const MAX_LIST_BYTES: usize = 4 << 20;
@@ -165,14 +165,15 @@
             Ok(list) if status == StatusCode::OK => {
                 let empty = !list.full && list.servers.is_empty();
                 version = Some(list.version);
-                let pause = schedule.answered(!empty);
+                let mut pause = schedule.answered(!empty);
                 if !empty {
                     events.send(LoopEvent::List { list, from: address });
-                    if !pause.is_zero() {
-                        sleep(pause).await;
-                    }
-                } else if asked.elapsed() < MIN_WATCH_INTERVAL {
-                    sleep(MIN_WATCH_INTERVAL).await;
+                }
+                if asked.elapsed() < MIN_WATCH_INTERVAL {
+                    pause = pause.max(MIN_WATCH_INTERVAL);
+                }
+                if !pause.is_zero() {
+                    sleep(pause).await;
                 }
             }
             unexpected => {
--- a/tests/forwarder/endless.rs
+++ b/tests/forwarder/endless.rs
@@ -9,6 +9,8 @@
 /// For how long the peer sends, and the pause between two submissions meanwhile.
 const DISTURBANCE: Duration = Duration::from_secs(4);
 const SUBMISSION_PAUSE: Duration = Duration::from_millis(40);
+/// Least time between two watches of discovery.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(50);
 const INTERIM: Reply = Reply::Endless(b"HTTP/1.1 100 Continue\r\n\r\n");
 
 /// A target for destination 1, and one for destination 2 that behaves like this.
@@ -101,6 +103,25 @@
     assert_served(&sound, &forwarder);
 }
 
+// Guards against an agent that answers each watch at once with another list.
+#[test]
+fn news_of_discovery_without_an_end_is_asked_for_at_a_bounded_rate() {
+    let (sound, platform, forwarder) = one_target(|_| OK);
+    let servers = vec![list_entry("s-1", sound.address, 1, "active")];
+    let versions = std::sync::atomic::AtomicU64::new(10);
+    platform.server.behave(move |_| {
+        let version = versions.fetch_add(1, Ordering::SeqCst);
+        let list = serde_json::json!({"version": version, "full": true, "servers": servers});
+        Reply::Body(list.to_string().into())
+    });
+    eventually("the list is asked for again", || platform.server.seen().len() > 10);
+    let (before, begun) = (platform.server.seen().len(), Instant::now());
+    assert_served(&sound, &forwarder);
+    let (watches, elapsed) = (platform.server.seen().len() - before, begun.elapsed());
+    let most = elapsed.as_millis() / MIN_WATCH_INTERVAL.as_millis() + 1;
+    assert!(watches as u128 <= most, "{watches} watches in {elapsed:?}");
+}
+
 // Guards against clients whose requests never end.
 #[test]
 fn clients_that_send_without_an_end_hold_up_no_other_client() {
