Count control input without a request against the rate of requests

Empty lines of a control client completed no request and so never met the limit: 15.6 MB were read in 2 s by a thread that shares the forwarder's core. Input that completes no line now takes a slot of the rate.

--- a/src/bin/foldtrack/control.rs
+++ b/src/bin/foldtrack/control.rs
@@ -251,23 +251,40 @@
     }
 }
 
+/// Rate limit of one connection: a client that exceeds it is delayed, and its further requests stay
+/// in the socket buffer.
+struct RateLimit {
+    next_slot: Instant,
+}
+
+impl RateLimit {
+    /// Takes the next slot and waits until it begins.
+    async fn wait(&mut self) {
+        let earliest = Instant::now() - REQUEST_BURST * REQUEST_INTERVAL;
+        let slot = self.next_slot.max(earliest);
+        self.next_slot = slot + REQUEST_INTERVAL;
+        sleep_until(slot).await;
+    }
+}
+
 /// Serves one control connection until it closes.
 async fn serve(mut stream: UnixStream, number: u64, server: &ControlServer) -> io::Result<()> {
     let mut lines = LineDecoder::new(MAX_LINE_BYTES);
     let mut buffer = vec![0; 16 * 1024];
-    let mut next_slot = Instant::now();
+    let mut rate_limit = RateLimit { next_slot: Instant::now() };
     loop {
         let count = stream.read(&mut buffer).await?;
         if count == 0 {
             return Ok(());
         }
         server.record_request(number);
-        for read_line in lines.push(&buffer[..count]) {
-            // Rate limit: a client that exceeds it is delayed, and its further requests stay in the
-            // socket buffer.
-            let now = Instant::now();
-            next_slot = next_slot.max(now - REQUEST_BURST * REQUEST_INTERVAL) + REQUEST_INTERVAL;
-            sleep_until(next_slot - REQUEST_INTERVAL).await;
+        let completed = lines.push(&buffer[..count]);
+        // Input without a request, such as empty lines, counts like one.
+        if completed.is_empty() {
+            rate_limit.wait().await;
+        }
+        for read_line in completed {
+            rate_limit.wait().await;
             let request = match read_line {
                 Ok(text) => parse_request(&text),
                 Err(LineError::NotUtf8) => {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod connections;
 mod encrypted;
+mod endless;
 mod flood_clients;
 mod kills;
 mod load;
