--- a/src/bin/foldtrack/peers.rs
+++ b/src/bin/foldtrack/peers.rs
@@ -19,6 +19,8 @@
 /// Maximum number of datagrams waiting for the node loop. Further ones are dropped, as on a congested
 /// network; their senders repeat them.
 const MAX_QUEUED_DATAGRAMS: usize = 1024;
+/// Datagrams that are read before other tasks of the thread get their turn.
+const DATAGRAMS_PER_TURN: u64 = 32;
 /// Pause before a failed write of records is tried again.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a read error on the socket.
@@ -181,7 +183,10 @@
     // One byte more than the maximum: a datagram that fills the buffer was too long and is dropped as
     // oversized.
     let mut bytes = vec![0; MAX_DATAGRAM + 1];
-    loop {
+    for number in 1_u64.. {
+        if number.is_multiple_of(DATAGRAMS_PER_TURN) {
+            tokio::task::yield_now().await;
+        }
         match socket.recv_from(&mut bytes).await {
             Ok((length, _)) => {
                 if queued.fetch_add(1, Ordering::Relaxed) >= MAX_QUEUED_DATAGRAMS {
--- a/tests/peers/main.rs
+++ b/tests/peers/main.rs
@@ -3,6 +3,8 @@
 //! `FOLDTRACK_SEEDS=N cargo test --release --test peers` runs each scenario with N seeds,
 //! `FOLDTRACK_KILLS=N` sets the number of kills.
 
+mod endless;
+
 use foldtrack_control::{ControlCommand, ControlResponse};
 use foldtrack_rig::fleet::{Fleet, FleetConfig, PartnerEntry, StateFolder};
 use foldtrack_rig::run::{run_scenario, Progress, RunConfig};
