Keep the look at pending reads after a stall as long as it was with rarer socket polls

After a stall the event loop lets the runtime read what is pending before it decides. Its own turn comes after each look at the sockets, which are 16 polls of tasks apart now and were 61: four turns covered 244 polls and would cover 64. Found by reading; 16 turns cover 256. Calls wait in the queue of tasks and lose nothing.

--- a/src/bin/foldtrack/call.rs
+++ b/src/bin/foldtrack/call.rs
@@ -30,10 +30,12 @@
 const BODY_TIMEOUT: Duration = Duration::from_millis(20);
 const MAX_BODY_BYTES: usize = 64 * 1024;
 /// A timer that fires this late indicates that the process stalled: pending socket reads are
-/// processed before anything is decided. A response head gets from the socket to the preflight
-/// check within so many turns of the runtime, under TLS too.
+/// processed before anything is decided.
 pub(crate) const STALL_THRESHOLD: Duration = Duration::from_millis(10);
-const RUNTIME_TURNS: u32 = 4;
+/// Turns of the runtime in which pending socket reads are processed after a stall. A response head
+/// gets from the socket to the preflight check within four of them, under TLS too, and the event
+/// loop's own turn comes after [`crate::TASKS_PER_SOCKET_POLL`] tasks, however many are ready.
+const RUNTIME_TURNS: u32 = 16;
 /// ENFILE and EMFILE.
 const LOCAL_LIMIT_ERRNOS: [i32; 2] = [23, 24];
 /// Reported limits above this, in calls per second, are taken for errors.
