--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -21,6 +21,7 @@
 mod lock;
 mod logs;
 mod membership;
+mod memory_log;
 mod message;
 mod message_view;
 mod node;
--- /dev/null
+++ b/src/bin/foldtrack/memory_log.rs
@@ -0,0 +1,77 @@
+//! Tells the memory of the process against its limit in the log, before the process can be ended for it.
+
+use procfs::process::Process;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A line is logged at least this often.
+const INTERVAL: Duration = Duration::from_secs(60);
+/// A line is logged when the memory has changed by one part in this many of the limit.
+const STEP_DIVISOR: u64 = 32;
+/// Lines are warnings from this share of the limit on, in percent.
+const WARNING_PERCENT: u64 = 75;
+
+/// What a process holds, by use. Bytes, unless the name says otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct MemoryUse {
+    /// Number of client connections.
+    pub client_connections: usize,
+    /// Number of connections to targets.
+    pub target_connections: usize,
+    /// Messages that were accepted and have not ended.
+    pub held: usize,
+    /// Number of ids that are remembered.
+    pub ids: usize,
+    /// Number of notices that the platform has not acknowledged.
+    pub notices: usize,
+    /// The journal's files, which count where the folder is in memory.
+    pub journal_files: u64,
+}
+
+/// When the memory was logged last, and how much it was.
+#[derive(Debug)]
+pub(crate) struct MemoryLog {
+    limit: u64,
+    logged: Option<(Instant, u64)>,
+}
+
+/// Resident memory of the process and its peak in bytes, if the system tells.
+fn resident_and_peak() -> Option<(u64, u64)> {
+    let status = Process::myself().and_then(|process| process.status()).ok()?;
+    Some((status.vmrss? * 1024, status.vmhwm? * 1024))
+}
+
+impl MemoryLog {
+    /// The log of a process that may hold `limit` bytes.
+    pub fn new(limit: usize) -> MemoryLog {
+        MemoryLog { limit: limit as u64, logged: None }
+    }
+
+    /// Whether a line is due for this resident memory.
+    fn is_due(&self, now: Instant, resident: u64) -> bool {
+        self.logged.is_none_or(|(at, logged)| {
+            let step = self.limit / STEP_DIVISOR;
+            now.duration_since(at) >= INTERVAL || resident.abs_diff(logged) >= step
+        })
+    }
+
+    /// Logs the memory if it has changed much, or has not been logged for a while.
+    pub fn update(&mut self, held: MemoryUse) {
+        let Some((resident, peak)) = resident_and_peak() else { return };
+        let now = Instant::now();
+        if !self.is_due(now, resident) {
+            return;
+        }
+        self.logged = Some((now, resident));
+        let limit = self.limit;
+        if resident >= limit / 100 * WARNING_PERCENT {
+            tracing::warn!(resident, peak, limit, ?held, "memory");
+        } else {
+            tracing::info!(resident, peak, limit, ?held, "memory");
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "memory_log_tests.rs"]
+mod tests;
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -23,6 +23,7 @@
 use crate::events::{EventSender, LoopEvent, Stage, SubmitReply};
 use crate::list::{ServerList, ServerState};
 use crate::membership::Membership;
+use crate::memory_log::{MemoryLog, MemoryUse};
 use crate::message::Message;
 use crate::notice_queue::NoticeQueue;
 use crate::partner_protocol::PartnerProtocols;
@@ -143,6 +144,7 @@
     targets: Targets,
     ids: MessageIds,
     max_ids: usize,
+    memory_log: MemoryLog,
     /// Bytes of the journal's capacity that are reserved for known clients.
     reserved_journal_bytes: usize,
     timers: BTreeSet<(Micros, u32)>,
@@ -225,6 +227,7 @@
         targets: Targets::default(),
         ids: MessageIds::default(),
         max_ids: config.memory_bytes / MEMORY_BYTES_PER_ID,
+        memory_log: MemoryLog::new(config.memory_bytes),
         reserved_journal_bytes: config.disk_bytes as usize / RESERVED_JOURNAL_DIVISOR,
         timers: BTreeSet::new(),
         stage,
@@ -335,6 +338,20 @@
             for number in self.targets.remove_stale(now, now - keep) {
                 self.pool.close(number);
             }
+            let memory_use = self.memory_use();
+            self.memory_log.update(memory_use);
+        }
+    }
+
+    /// What the process holds, by use.
+    fn memory_use(&self) -> MemoryUse {
+        MemoryUse {
+            client_connections: self.descriptors.held(DescriptorUser::Clients),
+            target_connections: self.descriptors.held(DescriptorUser::Calls),
+            held: self.messages.len(),
+            ids: self.ids.len(),
+            notices: self.notices.len(),
+            journal_files: self.journal.disk_bytes(),
         }
     }
 
--- a/src/bin/foldtrack/notice_queue.rs
+++ b/src/bin/foldtrack/notice_queue.rs
@@ -78,6 +78,11 @@
         self.pending.is_empty()
     }
 
+    /// Number of notices that were not acknowledged.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether an earlier message with this order key is not settled.
     pub fn holds_key(&self, order_key: u64) -> bool {
         self.held_keys.contains_key(&order_key)
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -220,6 +220,11 @@
         self.entries.get(&self.hasher.hash_one(id)).map(|(number, _)| *number)
     }
 
+    /// Number of ids that are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Remembers an id until a time.
     pub fn insert(&mut self, id: &str, number: u64, state: SubmissionState, until: Micros) {
         let hash = self.hasher.hash_one(id);
