Copy request bodies into counted buffers, and divide the memory limit among its users

Callers saw a process end for its memory while hundreds of clients left requests unfinished. hyper hands on each piece of a body as a slice of its read buffer of 8 KiB, and collect kept them all: a byte a client wrote each 5 ms held 8 KiB, while the permit for the body counted the bytes that were announced. The permits were given first come, so that sound clients waited behind those that held theirs back, and for a connection slot behind them too.

Bodies are copied into buffers that count what they take. A body of 4 KiB needs no share of them. When the share is used up, the body that has been read for the longest is refused (503), and likewise when a client waits for a connection. A client that sends a few bytes at a time is read less often.

--- /dev/null
+++ b/crates/memory/src/plan.rs
@@ -0,0 +1,124 @@
+//! Divides the memory limit of a process among its uses.
+//!
+//! The program itself, the calls that are configured and the files of the state folder come first. What remains is divided
+//! in fixed parts among everything that grows with what a peer does, and whoever allocates for it keeps to its share.
+
+/// The remaining memory is divided in this many parts.
+const PARTS: usize = 32;
+/// Client connections with what the kernel holds for them.
+const CLIENT_PARTS: usize = 6;
+/// Request bodies that are being read, and those whose messages wait for a decision.
+const BODY_PARTS: usize = 2;
+/// Messages that were accepted and have not ended, and notices that were not acknowledged.
+const HELD_PARTS: usize = 5;
+/// Ids of messages, held or ended.
+const ID_PARTS: usize = 3;
+/// Idle connections to targets.
+const IDLE_CONNECTION_PARTS: usize = 3;
+/// A list of targets while it is read: [`LIST_COPIES`] times the length of its text.
+const LIST_PARTS: usize = 4;
+/// Targets of the list, with what was learned of them.
+const TARGET_PARTS: usize = 9;
+
+/// Memory of the program before any peer does anything, in bytes.
+pub const PROGRAM_BYTES: usize = 7_000_000;
+/// Buffers that are requested of the kernel for a client connection, in bytes. It doubles them (socket(7)).
+pub const CLIENT_RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+/// The buffer for responses that the client has not read.
+pub const CLIENT_SEND_BUFFER_BYTES: usize = 8 * 1024;
+/// Bytes of a client connection: its task, buffers for a request head and a response, and a small body; and what the kernel
+/// holds that was not read.
+pub const CLIENT_BYTES: usize = 28 * 1024 + 2 * (CLIENT_RECEIVE_BUFFER_BYTES + CLIENT_SEND_BUFFER_BYTES);
+/// Bytes of a connection to a target: its task, and the buffers of a call.
+pub const TARGET_CONNECTION_BYTES: usize = 28 * 1024;
+/// Bytes of a remembered id, in tables that may be half empty.
+pub const ID_BYTES: usize = 96;
+/// Bytes of a held message beside its texts and its body: its records in the event loop, the scheduler and the journal's index.
+pub const HELD_OVERHEAD_BYTES: usize = 1_024;
+/// Bytes of a notice that was not acknowledged, beside its id.
+pub const NOTICE_OVERHEAD_BYTES: usize = 512;
+/// Bytes of a target: its entry, the statistics of its connections, and its part in those of its destination.
+pub const TARGET_BYTES: usize = 1_800;
+/// How many times the length of its text a list takes while it is read.
+const LIST_COPIES: usize = 2;
+
+/// Maximum length of a list's text under any limit, in bytes.
+const MAX_LIST_BYTES: usize = 4 << 20;
+/// Least numbers and sizes, with which a process works under any limit.
+const MIN_CLIENT_CONNECTIONS: usize = 16;
+const MIN_IDLE_CONNECTIONS: usize = 16;
+const MIN_BODY_BYTES: usize = 256 * 1024;
+const MIN_HELD_BYTES: usize = 256 * 1024;
+const MIN_IDS: usize = 1_024;
+const MIN_LIST_BYTES: usize = 256 * 1024;
+const MIN_TARGETS: usize = 1_024;
+
+/// What a deployment needs or allows beside the limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Client connections that the descriptors allow.
+    pub client_connections: usize,
+    /// Calls at once.
+    pub calls: usize,
+    /// Maximum size in bytes of the files that count as memory.
+    pub files: usize,
+    /// Bytes for held messages, where the deployment sets them.
+    pub held: Option<usize>,
+}
+
+/// How a process divides its memory. Sizes are in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryPlan {
+    /// The configured limit.
+    pub limit: usize,
+    /// Maximum number of client connections.
+    pub client_connections: usize,
+    /// Request bodies beyond the small one that each connection may hold.
+    pub bodies: usize,
+    /// Held messages and notices, with their overhead.
+    pub held: usize,
+    /// Maximum number of remembered ids.
+    pub ids: usize,
+    /// Maximum number of idle connections to targets.
+    pub idle_connections: usize,
+    /// Maximum length of a list of targets as text.
+    pub list: usize,
+    /// Maximum number of targets.
+    pub targets: usize,
+    /// The program, the configured calls and the files.
+    pub fixed: usize,
+}
+
+impl MemoryPlan {
+    /// Divides a limit in bytes.
+    pub fn new(limit: usize, demand: Demand) -> MemoryPlan {
+        let fixed = PROGRAM_BYTES + demand.calls * TARGET_CONNECTION_BYTES + demand.files;
+        let remaining = limit.saturating_sub(fixed + demand.held.unwrap_or(0));
+        let share = |parts: usize| remaining / PARTS * parts;
+        let most_clients = (share(CLIENT_PARTS) / CLIENT_BYTES).max(MIN_CLIENT_CONNECTIONS);
+        MemoryPlan {
+            limit,
+            client_connections: demand.client_connections.min(most_clients),
+            bodies: share(BODY_PARTS).max(MIN_BODY_BYTES),
+            held: demand.held.unwrap_or(share(HELD_PARTS)).max(MIN_HELD_BYTES),
+            ids: (share(ID_PARTS) / ID_BYTES).max(MIN_IDS),
+            idle_connections: (share(IDLE_CONNECTION_PARTS) / TARGET_CONNECTION_BYTES)
+                .max(MIN_IDLE_CONNECTIONS),
+            list: (share(LIST_PARTS) / LIST_COPIES).clamp(MIN_LIST_BYTES, MAX_LIST_BYTES),
+            targets: (share(TARGET_PARTS) / TARGET_BYTES).max(MIN_TARGETS),
+            fixed,
+        }
+    }
+
+    /// The most that all uses together may hold.
+    pub fn maximum(&self) -> usize {
+        self.fixed
+            + self.client_connections * CLIENT_BYTES
+            + self.bodies
+            + self.held
+            + self.ids * ID_BYTES
+            + self.idle_connections * TARGET_CONNECTION_BYTES
+            + self.list * LIST_COPIES
+            + self.targets * TARGET_BYTES
+    }
+}
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -5,12 +5,15 @@
 use crate::ends_api::{self, EndsApi};
 use crate::events::{EventSender, LoopEvent, Stage, SubmitReply};
 use crate::message::Message;
+use crate::request_bodies::{BodyPermit, ReadError, RequestBodies, MAX_BODY_BYTES};
 use crate::streams::{HeadScan, ScannedStream};
 use bytes::Bytes;
 use foldtrack_admission::{ConnectDecision, RejectReason, RequestDecision};
 use foldtrack_delivery::settings::DeploymentSettings;
 use foldtrack_delivery::{Effect, Micros};
-use http_body_util::{BodyExt, Full, Limited};
+use foldtrack_memory::plan::{CLIENT_RECEIVE_BUFFER_BYTES, CLIENT_SEND_BUFFER_BYTES};
+use foldtrack_memory::Priority;
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
@@ -26,20 +29,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
-/// Maximum size of a request body.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Read buffer of a connection in bytes, and so the maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum length of a message id, a key or a header value, in bytes.
 const MAX_NAME_BYTES: usize = 256;
-/// Time for a request head, and for the body after it. Clients wait 400 ms for an answer; one that
-/// takes longer than this has gone. The head timeout is also the idle timeout of a connection.
+/// Time for a request head, and the idle timeout of a connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-const BODY_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often a client that waits for a connection looks for a body that can give way.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 /// Length of the accept queue; the system may cap it (`net.core.somaxconn`).
 const BACKLOG: i32 = 4096;
 /// Pause after accept has failed, for lack of descriptors for example.
@@ -59,11 +60,8 @@
     pub events: EventSender,
     /// How far the shutdown has proceeded.
     pub stage: watch::Receiver<Stage>,
-    /// Bytes of request bodies that may be read at the same time, before their messages are passed
-    /// on.
-    pub bodies: Semaphore,
-    /// The part of it that unknown clients may use; the rest is reserved for known ones.
-    pub unknown_client_bodies: Semaphore,
+    /// The request bodies that are being read.
+    pub bodies: Arc<RequestBodies>,
     /// What else clients may request; only with a site file.
     pub ends_api: Option<EndsApi>,
     /// Whether this forwarder has caught up with the others of the site; none if there are no
@@ -83,6 +81,9 @@
     // Connections left over from a previous process must not prevent binding.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    // Accepted sockets inherit the buffers. A system that refuses the sizes keeps its own.
+    let _ = socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(CLIENT_SEND_BUFFER_BYTES);
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
@@ -127,10 +128,15 @@
                     break None;
                 }
                 // Every slot has a request in flight: wait until one is free.
-                Err(_) => tokio::select! {
-                    () = freed => waited = true,
-                    _ = stage.wait_for(|s| *s == Stage::Closing) => return,
-                },
+                Err(_) => {
+                    waited = true;
+                    context.bodies.evict_oldest();
+                    tokio::select! {
+                        () = freed => {}
+                        () = sleep(EVICTION_INTERVAL) => {}
+                        _ = stage.wait_for(|s| *s == Stage::Closing) => return,
+                    }
+                }
             }
         };
         let rejected = permit.is_none();
@@ -296,7 +302,14 @@
                 None => empty_response(StatusCode::NOT_FOUND),
             }
         }
-        _ => submit(request, known, context).await.unwrap_or_else(empty_response),
+        _ => match submit(request, known, context).await {
+            Ok(response) => response,
+            // The rest of the body is not read.
+            Err(StatusCode::SERVICE_UNAVAILABLE) => {
+                with_close(empty_response(StatusCode::SERVICE_UNAVAILABLE))
+            }
+            Err(status) => empty_response(status),
+        },
     };
     // After a client error the connection is closed.
     if chunked || response.status().is_client_error() || *context.stage.borrow() != Stage::Serving {
@@ -325,7 +338,7 @@
 async fn submit(
     request: Request<Incoming>, known: bool, context: &ServerContext,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let message = read_message(request, known, context).await?;
+    let (message, _permit) = read_message(request, known, context).await?;
     let (reply, answer) = oneshot::channel();
     context.events.send(LoopEvent::Submit { message: Arc::new(message), from_known_client: known, reply });
     match answer.await {
@@ -344,7 +357,7 @@
 /// Reads a message from a request; the error is the status of the response.
 async fn read_message(
     request: Request<Incoming>, known: bool, context: &ServerContext,
-) -> Result<Message, StatusCode> {
+) -> Result<(Message, BodyPermit), StatusCode> {
     const BAD: StatusCode = StatusCode::BAD_REQUEST;
     // The client's deadline counts from when it sent the request, so the transfer of the body is
     // included.
@@ -391,22 +404,17 @@
     if request.body().size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    // Limits the memory for request bodies that arrive at the same time.
-    let length = request.body().size_hint().upper().map_or(MAX_BODY_BYTES, |n| n as usize) as u32;
-    let body = async {
-        let unknown_length = if known { 0 } else { length };
-        let _unknown_permit = context.unknown_client_bodies.acquire_many(unknown_length).await;
-        let _permit =
-            context.bodies.acquire_many(length).await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-        match Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-            Err(_) => Err(BAD),
-        }
-    };
-    let body = timeout(BODY_TIMEOUT, body).await.map_err(|_| StatusCode::REQUEST_TIMEOUT)??;
+    let priority = if known { Priority::Known } else { Priority::Unknown };
+    let read = context.bodies.read(request.into_body(), priority).await;
+    let (body, permit) = read.map_err(|error| match error {
+        ReadError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        ReadError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        ReadError::Timeout => StatusCode::REQUEST_TIMEOUT,
+        ReadError::Invalid => BAD,
+    })?;
     let expires = now.checked_add(left).ok_or(BAD)?;
-    Ok(Message { id, class, destination, key, idempotency_key, retry, expires, body })
+    let message = Message { id, class, destination, key, idempotency_key, retry, expires, body };
+    Ok((message, permit))
 }
 
 /// Parses a duration with its unit: `480m` in milliseconds or `900u` in microseconds.
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -13,6 +13,7 @@
 use foldtrack_delivery::settings::DeploymentSettings;
 use foldtrack_ends::OutcomeStore;
 use foldtrack_journal::Budget;
+use foldtrack_memory::{Demand, MemoryPlan};
 use foldtrack_site::Site;
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use serde::Deserialize;
@@ -35,8 +36,8 @@
     /// Connection slots of the listener.
     pub client_connections: Arc<ClientConnections>,
     pub descriptors: Arc<DescriptorBudget>,
-    /// Memory limit in bytes.
-    pub memory_bytes: usize,
+    /// How memory is divided.
+    pub memory: MemoryPlan,
     /// Size limit of the journal in bytes.
     pub disk_bytes: u64,
     /// Simulated limit on the disk space in use.
@@ -129,8 +130,17 @@
         if file.settings.settings.classes.is_empty() || file.settings.settings.slots == 0 {
             return Err(format!("{path}: settings need at least one class and one slot"));
         }
-        let plan = DescriptorPlan::platform(file.limits.sockets, file.settings.settings.slots as usize);
+        let calls = file.settings.settings.slots as usize;
+        let plan = DescriptorPlan::platform(file.limits.sockets, calls);
         let limit = plan.limit();
+        let demand = Demand {
+            client_connections: plan.client_connections(limit)?,
+            calls,
+            files: disk_bytes as usize,
+            held: None,
+        };
+        let memory = MemoryPlan::new((file.limits.memory_mb * 1e6) as usize, demand);
+        let plan = plan.with_client_limit(memory.client_connections);
         let max_connections = plan.client_connections(limit)?;
         let descriptors = DescriptorBudget::new(plan, limit, max_connections);
         let seed =
@@ -156,7 +166,7 @@
                 descriptors.clone(),
             ),
             descriptors,
-            memory_bytes: (file.limits.memory_mb * 1e6) as usize,
+            memory,
             disk_bytes: disk_bytes as u64,
             disk_budget: None,
             settings: file.settings,
--- a/src/bin/foldtrack/descriptors.rs
+++ b/src/bin/foldtrack/descriptors.rs
@@ -30,6 +30,8 @@
     configured: usize,
     /// Number of calls at once.
     calls: usize,
+    /// Maximum number of client connections, whatever the descriptors allow.
+    most_clients: usize,
     deployment: Deployment,
 }
 
@@ -43,12 +45,17 @@
 impl DescriptorPlan {
     /// The plan of a process that a platform runs.
     pub fn platform(configured: usize, calls: usize) -> DescriptorPlan {
-        DescriptorPlan { configured, calls, deployment: Deployment::Platform }
+        DescriptorPlan { configured, calls, most_clients: usize::MAX, deployment: Deployment::Platform }
     }
 
     /// The plan of a process that runs a site file.
     pub fn site(configured: usize, calls: usize) -> DescriptorPlan {
-        DescriptorPlan { configured, calls, deployment: Deployment::Site }
+        DescriptorPlan { configured, calls, most_clients: usize::MAX, deployment: Deployment::Site }
+    }
+
+    /// The plan with fewer client connections: as many as the memory has room for.
+    pub fn with_client_limit(self, most_clients: usize) -> DescriptorPlan {
+        DescriptorPlan { most_clients, ..self }
     }
 
     /// The number of descriptors that the process may hold at the moment.
@@ -83,13 +90,14 @@
     /// # Errors
     /// The limit is too low for a site. A platform's process always starts.
     pub fn client_connections(&self, limit: usize) -> Result<usize, String> {
-        match self.deployment {
-            Deployment::Platform => Ok(self.half_share(limit).max(1)),
+        let connections = match self.deployment {
+            Deployment::Platform => self.half_share(limit).max(1),
             Deployment::Site => {
                 let (internal, internal_minimum) = (SITE_RESERVE, SITE_MINIMUM);
-                max_client_connections(limit, Reserved { calls: self.calls, internal, internal_minimum })
+                max_client_connections(limit, Reserved { calls: self.calls, internal, internal_minimum })?
             }
-        }
+        };
+        Ok(connections.min(self.most_clients))
     }
 
     /// Quotas in the order of [`DescriptorUser`].
--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -31,6 +31,7 @@
 mod platform;
 mod read_turns;
 mod registry;
+mod request_bodies;
 mod serve;
 mod streams;
 
--- a/src/bin/foldtrack/memory_log.rs
+++ b/src/bin/foldtrack/memory_log.rs
@@ -18,6 +18,8 @@
     pub client_connections: usize,
     /// Number of connections to targets.
     pub target_connections: usize,
+    /// Request bodies that are being read, beyond a small one for each connection.
+    pub body_bytes: usize,
     /// Messages that were accepted and have not ended.
     pub held: usize,
     /// Number of ids that are remembered.
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -28,6 +28,7 @@
 use crate::notice_queue::NoticeQueue;
 use crate::partner_protocol::PartnerProtocols;
 use crate::registry::{MessageIds, Targets};
+use crate::request_bodies::RequestBodies;
 use foldtrack_admission::DescriptorUser;
 use foldtrack_delivery::settings::DeploymentSettings;
 use foldtrack_delivery::{
@@ -35,6 +36,7 @@
 };
 use foldtrack_ends::Attempt;
 use foldtrack_journal::{Journal, JournalDir, JournalOptions};
+use foldtrack_memory::MemoryPlan;
 use site_runtime::{SiteRuntime, MAX_NAME_BYTES};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::io;
@@ -42,7 +44,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// Maximum number of events handled in one iteration of the loop.
@@ -58,12 +60,8 @@
 const COMPACTION_TIME_LIMIT: Duration = Duration::from_micros(300);
 /// Interval between sweeps that drop expired outcomes, ids, targets and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Request bodies being read may use one part in this many of the memory limit.
-const BODY_MEMORY_DIVISOR: usize = 4;
 /// One part in this many of the journal's capacity is reserved for known clients.
 const RESERVED_JOURNAL_DIVISOR: usize = 8;
-/// Bytes of the memory limit budgeted for each remembered message id.
-const MEMORY_BYTES_PER_ID: usize = 1024;
 
 /// Whether the client has been told that its message is accepted.
 enum Acceptance {
@@ -143,7 +141,9 @@
     last_sweep: Instant,
     targets: Targets,
     ids: MessageIds,
-    max_ids: usize,
+    /// How memory is divided.
+    memory: MemoryPlan,
+    bodies: Arc<RequestBodies>,
     memory_log: MemoryLog,
     /// Bytes of the journal's capacity that are reserved for known clients.
     reserved_journal_bytes: usize,
@@ -177,7 +177,7 @@
         max_age: Duration::from_micros(parts.site.calls.connection_age),
         rest: Duration::from_micros(parts.site.calls.connection_rest),
     });
-    let site = config.site.map(|parts| SiteRuntime::new(parts, outcome_sequence, config.memory_bytes as u64));
+    let site = config.site.map(|parts| SiteRuntime::new(parts, outcome_sequence, config.memory.held as u64));
     let name = if site.is_some() { MAX_NAME_BYTES } else { 0 };
     let options = JournalOptions {
         capacity_bytes: config.disk_bytes,
@@ -193,6 +193,7 @@
     let highest = journal.highest_number().max(site.as_ref().map_or(0, |s| s.outcomes.highest_number()));
     let (stage, stage_seen) = watch::channel(Stage::Serving);
     let share = config.descriptor_plan.half_share(config.descriptor_plan.limit());
+    let bodies = RequestBodies::new(config.memory.bodies, clock);
     let conn_idle = Duration::from_micros(settings.settings.idle_timeout);
     let mut node = Node {
         clock,
@@ -216,7 +217,7 @@
         calls: BTreeMap::new(),
         pool: ConnectionPool::new(
             conn_idle,
-            share.saturating_sub(slots).max(share / 4),
+            share.saturating_sub(slots).max(share / 4).min(config.memory.idle_connections),
             pool_settings,
             clock,
         ),
@@ -226,8 +227,9 @@
         last_sweep: Instant::now(),
         targets: Targets::default(),
         ids: MessageIds::default(),
-        max_ids: config.memory_bytes / MEMORY_BYTES_PER_ID,
-        memory_log: MemoryLog::new(config.memory_bytes),
+        memory: config.memory,
+        memory_log: MemoryLog::new(config.memory.limit),
+        bodies: bodies.clone(),
         reserved_journal_bytes: config.disk_bytes as usize / RESERVED_JOURNAL_DIVISOR,
         timers: BTreeSet::new(),
         stage,
@@ -248,18 +250,7 @@
         batch.extend(timeout(FIRST_LIST_TIMEOUT, receiver.recv()).await.ok().flatten());
     }
     let listener = client_server::listen(config.listen)?;
-    let bodies = Semaphore::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
-    let unknown_client_bodies = Semaphore::new(config.memory_bytes / BODY_MEMORY_DIVISOR / 2);
-    let context = ServerContext {
-        settings,
-        clock,
-        events,
-        stage: stage_seen,
-        bodies,
-        unknown_client_bodies,
-        ends_api,
-        ready,
-    };
+    let context = ServerContext { settings, clock, events, stage: stage_seen, bodies, ends_api, ready };
     tokio::spawn(follow_limit(config.descriptor_plan, config.client_connections.clone()));
     tokio::spawn(client_server::serve(listener, Arc::new(context), config.client_connections));
     while !node.has_ended() {
@@ -334,7 +325,7 @@
                 self.preconnect(target);
             }
             let (now, keep) = (self.clock.now(), self.retention());
-            self.ids.forget(now, self.max_ids);
+            self.ids.forget(now, self.memory.ids);
             for number in self.targets.remove_stale(now, now - keep) {
                 self.pool.close(number);
             }
@@ -348,6 +339,7 @@
         MemoryUse {
             client_connections: self.descriptors.held(DescriptorUser::Clients),
             target_connections: self.descriptors.held(DescriptorUser::Calls),
+            body_bytes: self.bodies.used(),
             held: self.messages.len(),
             ids: self.ids.len(),
             notices: self.notices.len(),
--- a/src/bin/foldtrack/node/site_runtime.rs
+++ b/src/bin/foldtrack/node/site_runtime.rs
@@ -17,9 +17,6 @@
 
 /// Number of recent failures kept for operators.
 const MAX_FAILURES: usize = 500;
-/// Bodies of held messages may use one part in this many of the memory limit: each is kept twice,
-/// in memory and in the journal.
-const HELD_MEMORY_DIVISOR: u64 = 4;
 /// Maximum length of a name in bytes.
 pub(crate) const MAX_NAME_BYTES: usize = 64;
 /// Retry delay told to refused clients while the forwarder is full.
@@ -89,7 +86,7 @@
 }
 
 impl SiteRuntime {
-    pub fn new(parts: SiteConfig, outcome_sequence: watch::Sender<u64>, memory: u64) -> Self {
+    pub fn new(parts: SiteConfig, outcome_sequence: watch::Sender<u64>, max_held_bytes: u64) -> Self {
         let SiteConfig { site, ends: outcomes, .. } = parts;
         outcome_sequence.send_replace(outcomes.last_published());
         let info = |p: &foldtrack_site::Partner| PartnerInfo {
@@ -102,7 +99,7 @@
             outcomes,
             outcome_sequence,
             partners: site.partners.iter().map(|p| (p.number(), info(p))).collect(),
-            max_held_bytes: memory / HELD_MEMORY_DIVISOR,
+            max_held_bytes,
             held_bytes: 0,
             reserved: 0,
             attempts: site.limits.attempts as usize,
--- a/src/bin/foldtrack/serve.rs
+++ b/src/bin/foldtrack/serve.rs
@@ -17,6 +17,7 @@
 use foldtrack_ends::OutcomeStore;
 use foldtrack_journal::Budget;
 use foldtrack_membership::{ListedEndpoint, MembershipLog, SiteFile};
+use foldtrack_memory::{Demand, MemoryPlan};
 use foldtrack_site::{Durability, Effect, Site, MAX_ENDPOINTS};
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::hash::{BuildHasher, RandomState};
@@ -25,6 +26,9 @@
 use std::path::Path;
 use tokio::signal::unix::SignalKind;
 
+/// Bodies of held messages may use one part in this many of the memory limit: each is kept twice,
+/// in memory and in the journal.
+const HELD_MEMORY_DIVISOR: usize = 4;
 /// Only the owner may access the state folder.
 const STATE_MODE: u32 = 0o700;
 
@@ -54,8 +58,13 @@
     let outcomes = OutcomeStore::open(&site.state.join("ends"), retention)
         .map_err(|e| e.to_string())?
         .with_budget(budget.clone());
-    let plan = DescriptorPlan::site(site.limits.descriptors, site.limits.calls as usize);
+    let calls = site.limits.calls as usize;
+    let plan = DescriptorPlan::site(site.limits.descriptors, calls);
     let limit = plan.limit();
+    let held = Some(site.limits.memory as usize / HELD_MEMORY_DIVISOR);
+    let demand = Demand { client_connections: plan.client_connections(limit)?, calls, files: 0, held };
+    let memory = MemoryPlan::new(site.limits.memory as usize, demand);
+    let plan = plan.with_client_limit(memory.client_connections);
     let max_connections = plan.client_connections(limit)?;
     let descriptor_budget = DescriptorBudget::new(plan, limit, max_connections);
     let client_connections =
@@ -76,7 +85,7 @@
         descriptor_plan: plan,
         client_connections: client_connections.clone(),
         descriptors: descriptor_budget.clone(),
-        memory_bytes: site.limits.memory as usize,
+        memory,
         disk_bytes: site.journal_capacity(),
         disk_budget: budget,
         settings: settings(&site),
