Read lists and responses into one buffer, and bound the list and its targets by the memory

A list of 600 targets that discovery wrote a byte at a time ended a process with 32 MB ('memory allocation of 8192 bytes failed'): the same mistake as with request bodies, each piece kept a read buffer of 8 KiB. Lists are copied into one buffer now, and responses of targets and answers to reports, which have no meaning, are counted and dropped.

--- a/src/bin/foldtrack/call.rs
+++ b/src/bin/foldtrack/call.rs
@@ -254,7 +254,8 @@
             if end.outcome == Outcome::Rejected {
                 record_wait(&mut end, response.headers());
             }
-            let body = timeout(BODY_TIMEOUT, connection.finish(response.into_body(), MAX_BODY_BYTES)).await;
+            let body =
+                timeout(BODY_TIMEOUT, connection.finish_unread(response.into_body(), MAX_BODY_BYTES)).await;
             // After a protocol switch the connection no longer speaks HTTP.
             let usable = matches!(body, Ok(Some(_))) && response_status != StatusCode::SWITCHING_PROTOCOLS;
             if !usable {
--- a/src/bin/foldtrack/cli/send.rs
+++ b/src/bin/foldtrack/cli/send.rs
@@ -458,7 +458,7 @@
     // The status counts even if the connection closed before the whole body was read.
     if let Ok(Some(body)) = body {
         *connection = Some(open);
-        return Some((status, wait, body));
+        return Some((status, wait, body.into()));
     }
     Some((status, wait, Bytes::new()))
 }
--- a/src/bin/foldtrack/config.rs
+++ b/src/bin/foldtrack/config.rs
@@ -178,6 +178,7 @@
                 source,
                 drain_grace,
                 seed,
+                max_list_bytes: memory.list,
             }),
             discovery: Some(discovery),
             durable: false,
--- a/src/bin/foldtrack/connections.rs
+++ b/src/bin/foldtrack/connections.rs
@@ -11,7 +11,7 @@
 use crate::streams::{ResponseTap, TappedStream, Unread};
 use bytes::Bytes;
 use foldtrack_pool::IdleConnection;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -35,6 +35,9 @@
 /// Maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
+/// The buffer of a response grows by one part in this many of its size.
+const BUFFER_GROWTH_DIVISOR: usize = 4;
+
 /// How connections to a partner are encrypted.
 #[derive(Clone, Debug)]
 pub(crate) struct Encryption {
@@ -175,19 +178,25 @@
         }
     }
 
-    /// Reads a response to its end. What follows it on the connection is not looked at.
-    pub async fn read_body(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        let body = Limited::new(body, limit).collect().await;
-        Some(body.ok()?.to_bytes())
+    /// Reads a response to its end and waits until the next request may be sent.
+    pub async fn finish(&mut self, body: Incoming, limit: usize) -> Option<Vec<u8>> {
+        let body = read_body(body, limit).await?;
+        self.become_idle().await?;
+        Some(body)
     }
 
-    /// Reads a response to its end and waits until the next request may be sent.
-    pub async fn finish(&mut self, body: Incoming, limit: usize) -> Option<Bytes> {
-        let body = self.read_body(body, limit).await?;
+    /// Like [`Connection::finish`] for a response whose body has no meaning.
+    pub async fn finish_unread(&mut self, body: Incoming, limit: usize) -> Option<()> {
+        skip_body(body, limit).await?;
+        self.become_idle().await
+    }
+
+    /// Waits until the next request may be sent.
+    async fn become_idle(&mut self) -> Option<()> {
         self.sender.ready().await.ok()?;
         self.tap.forget_response();
         self.idle_since = Instant::now();
-        Some(body)
+        Some(())
     }
 
     /// Its number and how many requests were written to it.
@@ -247,6 +256,44 @@
     }
 }
 
+/// Reads a response to its end. None if it is unreadable or longer than the limit.
+pub(crate) async fn read_body(body: Incoming, limit: usize) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    for_each_piece(body, |piece| {
+        let fits = bytes.len() + piece.len() <= limit;
+        if fits {
+            if bytes.capacity() - bytes.len() < piece.len() {
+                bytes.reserve_exact(piece.len().max(bytes.len() / BUFFER_GROWTH_DIVISOR));
+            }
+            bytes.extend_from_slice(piece);
+        }
+        fits
+    })
+    .await
+    .map(|()| bytes)
+}
+
+/// Reads a response to its end and drops its bytes. None if it is unreadable or longer than the limit.
+async fn skip_body(body: Incoming, limit: usize) -> Option<()> {
+    let mut length = 0;
+    for_each_piece(body, |piece| {
+        length += piece.len();
+        length <= limit
+    })
+    .await
+}
+
+/// Passes on the pieces of a body until `take` returns false. No piece is kept: each would keep a whole read buffer alive.
+async fn for_each_piece(mut body: Incoming, mut take: impl FnMut(&[u8]) -> bool) -> Option<()> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.ok()?;
+        if !frame.data_ref().is_none_or(|piece| take(piece)) {
+            return None;
+        }
+    }
+    Some(())
+}
+
 /// Whether hyper has read bytes that answer no request. It has no predicate for this kind of error,
 /// which is the only one without a predicate and without a source.
 fn is_unexpected_message(error: &hyper::Error) -> bool {
--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -1,10 +1,15 @@
 //! The list of targets in discovery's JSON format.
 
 use foldtrack_delivery::Micros;
+use serde::de::{SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
-use serde_json::Value;
+use serde_json::value::RawValue;
+use std::fmt;
 use std::net::SocketAddr;
 
+/// Characters of an entry that cannot be parsed which are logged.
+const MAX_SHOWN_CHARS: usize = 200;
+
 /// A full list, or the changes since a version.
 #[derive(Clone, Debug, Default, Deserialize)]
 pub(crate) struct ServerList {
@@ -16,14 +21,34 @@
 }
 
 /// Skips entries that cannot be parsed, so that one of them does not hide the rest of the list,
-/// drains included.
+/// drains included. Entries are read one at a time: a list of small values would take many times its length otherwise.
 fn skip_unreadable<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ServerEntry>, D::Error> {
-    let lines = Vec::<Value>::deserialize(deserializer)?;
-    let read = |line: Value| {
-        let text = line.to_string();
-        serde_json::from_value(line).inspect_err(|e| eprintln!("discovery: entry skipped: {text}: {e}")).ok()
-    };
-    Ok(lines.into_iter().filter_map(read).collect())
+    deserializer.deserialize_seq(ReadableEntries)
+}
+
+/// Collects the entries that can be parsed.
+struct ReadableEntries;
+
+impl<'de> Visitor<'de> for ReadableEntries {
+    type Value = Vec<ServerEntry>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list of targets")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<ServerEntry>, A::Error> {
+        let mut readable = Vec::new();
+        while let Some(text) = entries.next_element::<Box<RawValue>>()? {
+            match serde_json::from_str(text.get()) {
+                Ok(entry) => readable.push(entry),
+                Err(error) => {
+                    let shown: String = text.get().chars().take(MAX_SHOWN_CHARS).collect();
+                    eprintln!("discovery: entry skipped: {shown}: {error}");
+                }
+            }
+        }
+        Ok(readable)
+    }
 }
 
 /// One target of the list.
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -225,7 +225,7 @@
         partner_protocols: config.partner_protocols,
         next_preconnect: 0,
         last_sweep: Instant::now(),
-        targets: Targets::default(),
+        targets: Targets::new(config.memory.targets),
         ids: MessageIds::default(),
         memory: config.memory,
         memory_log: MemoryLog::new(config.memory.limit),
@@ -324,16 +324,21 @@
             for target in self.pool.sweep() {
                 self.preconnect(target);
             }
-            let (now, keep) = (self.clock.now(), self.retention());
-            self.ids.forget(now, self.memory.ids);
-            for number in self.targets.remove_stale(now, now - keep) {
-                self.pool.close(number);
-            }
+            self.ids.forget(self.clock.now(), self.memory.ids);
+            self.drop_stale_targets();
             let memory_use = self.memory_use();
             self.memory_log.update(memory_use);
         }
     }
 
+    /// Drops targets that have left and have no call in flight.
+    fn drop_stale_targets(&mut self) {
+        let (now, keep) = (self.clock.now(), self.retention());
+        for number in self.targets.remove_stale(now, now.saturating_sub(keep)) {
+            self.pool.close(number);
+        }
+    }
+
     /// What the process holds, by use.
     fn memory_use(&self) -> MemoryUse {
         MemoryUse {
@@ -419,6 +424,14 @@
         let index = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).map_or(u32::MAX, |at| at as u32)
         };
+        if self.targets.is_crowded(list.servers.len()) {
+            if kind != ListKind::Delta {
+                let ids = list.servers.iter().map(|entry| entry.id.as_str()).collect();
+                self.targets.retain_ids(&ids);
+            }
+            self.drop_stale_targets();
+        }
+        let mut without_room = 0;
         let mut endpoints = Vec::with_capacity(list.servers.len());
         let mut listed = HashSet::new();
         for line in list.servers {
@@ -426,7 +439,10 @@
             let kind = index(&self.settings.kind_names, &line.kind);
             let apart =
                 self.settings.settings.independent_routes.get(kind as usize).copied().unwrap_or(false);
-            let Some((target, replaced)) = self.targets.assign(&line, zone, apart) else { continue };
+            let Some((target, replaced)) = self.targets.assign(&line, zone, apart) else {
+                without_room += usize::from(line.state != ServerState::Left);
+                continue;
+            };
             listed.insert(target);
             if let Some(target) = replaced {
                 // The same id at another address is a different target.
@@ -449,6 +465,9 @@
                 hold_until: line.hold_until,
             });
         }
+        if without_room > 0 {
+            eprintln!("discovery: no memory for {without_room} more targets: they are sent nothing");
+        }
         if kind != ListKind::Delta {
             self.targets.retain_listed(&listed);
         }
--- a/src/bin/foldtrack/platform.rs
+++ b/src/bin/foldtrack/platform.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's agent: watches the list of targets and reports how messages ended.
 
-use crate::connections::{Connection, SendError};
+use crate::connections::{read_body, Connection, SendError};
 use crate::discovery_schedule::{DiscoverySchedule, PollFailure, Source};
 use crate::events::{EventSender, LoopEvent};
 use crate::list::ServerList;
@@ -28,8 +28,8 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Minimum interval between watches, for an agent that answers each at once, with or without news.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum size of a list in bytes.
-const MAX_LIST_BYTES: usize = 4 << 20;
+/// Maximum size of an answer to a report in bytes; it has no meaning.
+const MAX_REPORT_ANSWER_BYTES: usize = 64 * 1024;
 /// Time in which the body of an answer must arrive after its head, whatever the timeout of the
 /// call. A body that stops half-way counts as no answer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -38,10 +38,11 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Sends a request to the agent, on a connection of its own: what arrives there is the answer to
-/// this request and to no other. `ended` is what a connection that ends without an answer means.
+/// this request and to no other. `ended` is what a connection that ends without an answer means. An answer
+/// whose body is longer than `max_body_bytes` counts as none.
 async fn exchange(
-    address: SocketAddr, request: Request<Full<Bytes>>, ended: PollFailure,
-) -> Result<(StatusCode, Bytes), PollFailure> {
+    address: SocketAddr, request: Request<Full<Bytes>>, ended: PollFailure, max_body_bytes: usize,
+) -> Result<(StatusCode, Vec<u8>), PollFailure> {
     let opened = Connection::open(address, None, None).await;
     let mut connection = opened.map_err(|error| {
         if is_descriptor_shortage(&error) {
@@ -54,7 +55,7 @@
         SendError::Unsent | SendError::ConnectionLost | SendError::Refused(_) => ended,
     })?;
     let status = response.status();
-    let body = timeout(BODY_TIMEOUT, connection.read_body(response.into_body(), MAX_LIST_BYTES)).await;
+    let body = timeout(BODY_TIMEOUT, read_body(response.into_body(), max_body_bytes)).await;
     let body = body.ok().flatten().ok_or(PollFailure::NoResponse)?;
     Ok((status, body))
 }
@@ -76,6 +77,8 @@
     pub drain_grace: Micros,
     /// Seed of this forwarder's random numbers.
     pub seed: u64,
+    /// Maximum size of a list in bytes.
+    pub max_list_bytes: usize,
 }
 
 impl Membership for Agent {
@@ -88,7 +91,7 @@
     /// unless discovery is down.
     fn start_updates(&self, events: &EventSender) -> bool {
         let schedule = DiscoverySchedule::new(self.forwarder_count, self.source, self.drain_grace, self.seed);
-        tokio::spawn(watch(self.discovery.subscribe(), schedule, events.clone()));
+        tokio::spawn(watch(self.discovery.subscribe(), schedule, events.clone(), self.max_list_bytes));
         true
     }
 
@@ -112,6 +115,7 @@
 /// Watches the list for as long as the process runs.
 async fn watch(
     mut discovery: watch::Receiver<SocketAddr>, mut schedule: DiscoverySchedule, events: EventSender,
+    max_list_bytes: usize,
 ) {
     loop {
         let address = *discovery.borrow_and_update();
@@ -122,13 +126,15 @@
                 Ok(()) => schedule.reset(),
                 Err(_) => return,
             },
-            () = watch_at(address, &mut schedule, &events) => {}
+            () = watch_at(address, &mut schedule, &events, max_list_bytes) => {}
         }
     }
 }
 
 /// Watches the list at one address, starting with the whole list.
-async fn watch_at(address: SocketAddr, schedule: &mut DiscoverySchedule, events: &EventSender) {
+async fn watch_at(
+    address: SocketAddr, schedule: &mut DiscoverySchedule, events: &EventSender, max_list_bytes: usize,
+) {
     let mut version: Option<u64> = None;
     // Without an answer before, a connection that ends at once means that nobody serves the
     // address. Later it may end for reasons that say nothing about the next one.
@@ -144,7 +150,7 @@
         let asked = Instant::now();
         let answer = match get_request(address, &path) {
             Some(request) => {
-                let answer = timeout(wait, exchange(address, request, ended)).await;
+                let answer = timeout(wait, exchange(address, request, ended, max_list_bytes)).await;
                 answer.unwrap_or(Err(PollFailure::NoResponse))
             }
             None => Err(PollFailure::NoResponse),
@@ -222,6 +228,7 @@
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(lines)));
-    let answer = timeout(REPORT_TIMEOUT, exchange(address, request.ok()?, PollFailure::Rejected)).await;
+    let exchange = exchange(address, request.ok()?, PollFailure::Rejected, MAX_REPORT_ANSWER_BYTES);
+    let answer = timeout(REPORT_TIMEOUT, exchange).await;
     answer.ok()?.ok().map(|(status, _)| status)
 }
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -45,15 +45,27 @@
     numbers_by_id: HashMap<String, TargetId>,
     by_number: BTreeMap<TargetId, TargetEntry>,
     next: TargetId,
+    /// Maximum number of targets.
+    max: usize,
     /// Destinations, and when each last had a target.
     last_seen: BTreeMap<u32, Micros>,
     routes: RouteStates,
 }
 
 impl Targets {
+    /// No targets yet, and at most `max` later.
+    pub fn new(max: usize) -> Targets {
+        Targets { max, ..Targets::default() }
+    }
+
+    /// Whether so many more may not all find room.
+    pub fn is_crowded(&self, more: usize) -> bool {
+        self.by_number.len() + more > self.max
+    }
+
     /// The number of an entry's target, and the number that it replaces, if any. Returns none for a
-    /// target that has left and was never known. `apart` tells whether requested waits and outages
-    /// apply to this target alone.
+    /// target that has left and was never known, and for a new one beyond the maximum. `apart` tells
+    /// whether requested waits and outages apply to this target alone.
     pub fn assign(
         &mut self, line: &ServerEntry, zone: u32, apart: bool,
     ) -> Option<(TargetId, Option<TargetId>)> {
@@ -69,7 +81,7 @@
             }
             server.set_state(true, server.leaving);
         }
-        if gone {
+        if gone || self.is_crowded(1) {
             return Some((known?, None));
         }
         let number = self.next;
@@ -107,6 +119,14 @@
             .for_each(|(_, s)| s.set_state(true, s.leaving));
     }
 
+    /// Marks targets as gone whose ids a full list does not contain, before the list's new ones need their room.
+    pub fn retain_ids(&mut self, listed: &HashSet<&str>) {
+        self.by_number
+            .values_mut()
+            .filter(|target| !listed.contains(target.id.as_str()))
+            .for_each(|target| target.set_state(true, target.leaving));
+    }
+
     /// Refreshes the last-seen time of all destinations that have a target now.
     pub fn mark_seen(&mut self, now: Micros) {
         for server in self.by_number.values().filter(|s| !s.gone) {
@@ -277,7 +297,7 @@
 
     #[test]
     fn a_number_identifies_one_target_and_is_dropped_when_no_call_refers_to_it() {
-        let mut targets = Targets::default();
+        let mut targets = Targets::new(1_024);
         let active = |id: &str, port| line(id, port, 1, ServerState::Active);
         let (first, none) = targets.assign(&active("a", 1), 0, false).unwrap();
         assert_eq!(none, None);
@@ -307,6 +327,18 @@
         );
     }
 
+    #[test]
+    fn targets_beyond_the_maximum_find_no_room_until_others_have_left() {
+        let mut targets = Targets::new(3);
+        let active = |id: &str| line(id, 1, 1, ServerState::Active);
+        let old: Vec<_> = ["a", "b", "c"].map(|id| targets.assign(&active(id), 0, false).unwrap().0).into();
+        assert!(targets.is_crowded(1) && targets.assign(&active("d"), 0, false).is_none());
+        assert_eq!(targets.assign(&active("a"), 0, false), Some((old[0], None)), "a known one stays");
+        targets.retain_ids(&HashSet::from(["a", "d"]));
+        assert_eq!(targets.remove_stale(10, 0), old[1..]);
+        assert!(targets.assign(&active("d"), 0, false).is_some());
+    }
+
     #[test]
     fn ids_are_remembered_until_they_expire_and_up_to_the_limit() {
         let mut ids = MessageIds::default();
--- a/tests/forwarder/memory.rs
+++ b/tests/forwarder/memory.rs
@@ -122,3 +122,93 @@
         heads_of_short_fields_stay_under_32_mb: head_of_short_fields(), 32;
     }
 }
+
+mod peers_in_pieces {
+    use super::*;
+
+    /// Entries of a list that discovery writes a byte at a time.
+    const LISTED: u32 = 600;
+    /// Calls at once to targets whose responses come a byte at a time.
+    const CALLS: usize = 64;
+
+    // Guards against issue 71 on the side of discovery: each piece of a list kept a read buffer.
+    #[test]
+    fn a_list_written_byte_by_byte_stays_under_32_mb() {
+        let _alone = one_crowd_at_a_time();
+        let target = Server::start(|_| OK);
+        let first = vec![list_entry("s-1", target.address, 1, "active")];
+        let platform = Platform::start(first);
+        let forwarder = limited_forwarder(&platform, 32);
+        let servers: Vec<_> =
+            (1..=LISTED).map(|n| list_entry(&format!("s-{n}"), target.address, n, "active")).collect();
+        let list = serde_json::json!({"version": 7, "full": true, "servers": servers}).to_string();
+        platform.server.behave(move |request| match request.path.contains("since=7") {
+            _ if request.method == "POST" => Reply::Status(204, ""),
+            true => Reply::Later(MS(500), 503),
+            false => Reply::InPieces(list.clone().into_bytes(), 1),
+        });
+        eventually("the list is in force", || {
+            forwarder.submit(&fee("listed").for_destination(LISTED)) == 202
+        });
+        assert!(peak_memory(forwarder.pid()) <= 32_000_000, "{}", peak_memory(forwarder.pid()));
+    }
+
+    // Guards against issue 71 on the side of targets: each piece of a response kept a read buffer.
+    #[test]
+    fn responses_written_byte_by_byte_stay_under_32_mb() {
+        let _alone = one_crowd_at_a_time();
+        let target = Server::start(|_| Reply::InPieces(vec![b'x'; MAX_BODY_BYTES], 1));
+        let platform = Platform::start(vec![list_entry("s-1", target.address, 1, "active")]);
+        let mut forwarder = Forwarder::start_with(&platform, |config| {
+            config["limits"]["memory_mb"] = 32.into();
+            config["settings"]["family_info"]["slots"] = CALLS.into();
+        });
+        limit_memory(forwarder.pid(), 32_000_000);
+        for n in 0..CALLS {
+            assert_eq!(forwarder.submit(&update(&format!("m{n}"), &format!("k{n}"))), 202);
+        }
+        eventually("all are delivered", || target.ids().len() >= CALLS);
+        sleep(MS(500));
+        assert!(forwarder.is_running(), "the process has ended by itself");
+        assert!(peak_memory(forwarder.pid()) <= 32_000_000, "{}", peak_memory(forwarder.pid()));
+    }
+}
+
+mod held {
+    use super::*;
+
+    /// A disk that is larger than the memory, in megabytes.
+    const DISK_MB: u64 = 200;
+    /// Bodies of this many bytes that are handed in, more than the limit has room for.
+    const BODY_BYTES: usize = 60_000;
+    const MESSAGES: usize = 1_000;
+
+    // Guards against issue 71: under a platform only the disk limited the messages that are held.
+    #[test]
+    fn held_messages_stay_under_32_mb_on_a_large_disk_and_over_a_restart() {
+        let _alone = one_crowd_at_a_time();
+        let target = Server::start(|_| Reply::Silence);
+        let platform = Platform::start(vec![list_entry("s-1", target.address, 1, "active")]);
+        let mut forwarder = Forwarder::start_with(&platform, |config| {
+            config["limits"]["memory_mb"] = 32.into();
+            config["limits"]["disk_mb"] = DISK_MB.into();
+            config["settings"]["limits"]["max_open"] = (2 * MESSAGES).into();
+        });
+        limit_memory(forwarder.pid(), 32_000_000);
+        let submit = |n: usize| {
+            let message = update(&format!("m{n}"), &format!("k{n}")).body(vec![b'x'; BODY_BYTES]);
+            forwarder.submit(&message)
+        };
+        let answers: Vec<u16> = (0..MESSAGES).map(submit).collect();
+        let accepted = answers.iter().filter(|status| **status == 202).count();
+        assert!(forwarder.is_running(), "the process has ended by itself after {accepted} messages");
+        assert!(answers.iter().all(|status| [202, 503].contains(status)));
+        assert!(accepted * BODY_BYTES > 1_000_000, "{accepted} accepted");
+        let before = peak_memory(forwarder.pid());
+        forwarder.kill();
+        forwarder.restart();
+        let after = peak_memory(forwarder.pid());
+        println!("{accepted} accepted, peak {before} before and {after} after the restart");
+        assert!(before <= 32_000_000 && after <= 32_000_000, "{before}, {after}");
+    }
+}
