Write request head and body to targets together without a copy that the connection keeps

hyper flattens head and body into a buffer of the connection where the stream cannot write several buffers, and the buffer keeps its size: an idle connection held up to 64 KiB of its largest call, which no count knew of. The stream takes both now and joins them in one buffer of the thread for a single write. The new test failed to find vectored writes before; found by reading, while adding up what an idle connection holds.

--- a/src/bin/foldtrack/streams/target.rs
+++ b/src/bin/foldtrack/streams/target.rs
@@ -6,7 +6,8 @@
 use crate::read_turns::ReadTurn;
 use http::HeaderMap;
 use socket2::SockRef;
-use std::io::{self, Read};
+use std::cell::RefCell;
+use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -22,6 +23,11 @@
 /// Text of the error that ends such a connection.
 const TOO_MUCH_BEFORE_RESPONSE: &str = "too many bytes before the response";
 
+thread_local! {
+    /// Head and body of a request, on their way to a socket.
+    static WRITE_BUFFER: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
+
 /// The socket of a target, with the first bytes received since the last request.
 #[derive(Debug)]
 pub(crate) struct ResponseTap {
@@ -169,6 +175,22 @@
         }
     }
 
+    /// Writes the buffers together, as one write.
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        WRITE_BUFFER.with_borrow_mut(|together| {
+            together.clear();
+            buffers.iter().for_each(|buffer| together.extend_from_slice(buffer));
+            self.poll_write(cx, together)
+        })
+    }
+
+    /// With it hyper keeps no copy of the bodies that it writes. The connection would keep its memory while it is idle.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
@@ -208,6 +230,16 @@
         Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>, cx: &mut Context<'_>, buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
--- a/src/bin/foldtrack/streams/target_tests.rs
+++ b/src/bin/foldtrack/streams/target_tests.rs
@@ -38,3 +38,18 @@
     }
     target.abort();
 }
+
+// Guards against a copy of each body that its idle connection kept.
+#[tokio::test(flavor = "current_thread")]
+async fn buffers_that_are_written_together_arrive_together() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let tap = ResponseTap::new(TcpStream::connect(listener.local_addr().unwrap()).await.unwrap(), false);
+    let (mut target, _) = listener.accept().await.unwrap();
+    let mut stream = TappedStream::new(tap.socket(), tap.clone());
+    assert!(stream.is_write_vectored());
+    let parts = [IoSlice::new(b"head"), IoSlice::new(b""), IoSlice::new(b"body")];
+    assert_eq!(stream.write_vectored(&parts).await.unwrap(), 8);
+    let mut received = [0; 16];
+    assert_eq!(target.read(&mut received).await.unwrap(), 8);
+    assert_eq!(&received[..8], b"headbody");
+}
