Bound held messages and pending notices by the memory under a platform too

Under a platform only the disk and max_open bounded what is held: with 32 MB of memory and 200 MB of disk a process ended by itself after 503 messages of 60,000 bytes. Messages and notices count with what is kept about them (1,024 and 512 bytes), and a message that exceeds their share is refused with 503. A state folder larger than half of the limit counts as not in memory.

--- a/crates/memory/src/plan.rs
+++ b/crates/memory/src/plan.rs
@@ -60,7 +60,7 @@
     pub client_connections: usize,
     /// Calls at once.
     pub calls: usize,
-    /// Maximum size in bytes of the files that count as memory.
+    /// Maximum size in bytes of the files that count as memory. A folder of more than half of the limit cannot be meant to.
     pub files: usize,
     /// Bytes for held messages, where the deployment sets them.
     pub held: Option<usize>,
@@ -92,7 +92,8 @@
 impl MemoryPlan {
     /// Divides a limit in bytes.
     pub fn new(limit: usize, demand: Demand) -> MemoryPlan {
-        let fixed = PROGRAM_BYTES + demand.calls * TARGET_CONNECTION_BYTES + demand.files;
+        let files = if demand.files <= limit / 2 { demand.files } else { 0 };
+        let fixed = PROGRAM_BYTES + demand.calls * TARGET_CONNECTION_BYTES + files;
         let remaining = limit.saturating_sub(fixed + demand.held.unwrap_or(0));
         let share = |parts: usize| remaining / PARTS * parts;
         let most_clients = (share(CLIENT_PARTS) / CLIENT_BYTES).max(MIN_CLIENT_CONNECTIONS);
--- a/src/bin/foldtrack/memory_log.rs
+++ b/src/bin/foldtrack/memory_log.rs
@@ -22,6 +22,8 @@
     pub body_bytes: usize,
     /// Messages that were accepted and have not ended.
     pub held: usize,
+    /// What these messages and the notices take.
+    pub held_bytes: usize,
     /// Number of ids that are remembered.
     pub ids: usize,
     /// Number of notices that the platform has not acknowledged.
--- a/src/bin/foldtrack/message.rs
+++ b/src/bin/foldtrack/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use foldtrack_delivery::Micros;
+use foldtrack_memory::plan::HELD_OVERHEAD_BYTES;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
@@ -30,6 +31,13 @@
         self.body.len() + self.id.len() + self.key.len() + key + 128
     }
 
+    /// Approximate size in bytes in memory, with what is kept about the message.
+    pub fn memory_size(&self) -> usize {
+        let optional = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let texts = self.id.len() + self.key.len() + optional(&self.idempotency_key) + optional(&self.retry);
+        self.body.len() + texts + HELD_OVERHEAD_BYTES
+    }
+
     /// The scheduler's form of the order key.
     pub fn order_key(&self) -> u64 {
         order_key(&self.key)
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -80,7 +80,8 @@
             // Its targets may be in a list that has not arrived yet.
             return Some(self.refusal(message.destination));
         }
-        let full = self.messages.len() >= self.settings.settings.max_held as usize;
+        let full =
+            self.messages.len() >= self.settings.settings.max_held as usize || self.is_out_of_memory(message);
         let reserved = if from_known_client { 0 } else { self.reserved_journal_bytes };
         if full || !self.journal.has_capacity(self.fresh_bytes + message.journal_size() + reserved) {
             return Some(self.refusal(message.destination));
@@ -89,6 +90,12 @@
         self.site.as_mut().and_then(|s| s.capacity_refusal(message, held))
     }
 
+    /// Whether a message exceeds the memory for messages and notices. A site counts its messages itself.
+    fn is_out_of_memory(&self, message: &Message) -> bool {
+        let held_bytes = self.messages.bytes() + self.notices.bytes();
+        self.site.is_none() && held_bytes + message.memory_size() > self.memory.held
+    }
+
     /// Limits the deadline of a message that was handed back and may have been executed to the time
     /// for which its partner remembers it.
     fn limit_to_dedup_window(&mut self, message: Arc<Message>) -> Arc<Message> {
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod group_commit;
+mod held_messages;
 mod intake;
 mod orders;
 mod outcomes;
@@ -122,8 +123,7 @@
     /// Number of target lists received. Discovery's own versions restart when it moves.
     lists_received: u32,
     next_number: u64,
-    /// Messages that are accepted, or may be, by number; numbers grow in the order of arrival.
-    messages: BTreeMap<u64, HeldMessage>,
+    messages: held_messages::HeldMessages,
     /// Messages of this iteration whose clients wait for a reply.
     fresh: Vec<u64>,
     /// Bytes of the messages in `fresh`, which the journal has not counted yet.
@@ -209,7 +209,7 @@
         scan: snapshot::SnapshotScan::default(),
         lists_received: 0,
         next_number: highest + 1,
-        messages: BTreeMap::new(),
+        messages: held_messages::HeldMessages::default(),
         fresh: Vec::new(),
         fresh_bytes: 0,
         notices: NoticeQueue::default(),
@@ -346,6 +346,7 @@
             target_connections: self.descriptors.held(DescriptorUser::Calls),
             body_bytes: self.bodies.used(),
             held: self.messages.len(),
+            held_bytes: self.messages.bytes() + self.notices.bytes(),
             ids: self.ids.len(),
             notices: self.notices.len(),
             journal_files: self.journal.disk_bytes(),
--- a/src/bin/foldtrack/notice_queue.rs
+++ b/src/bin/foldtrack/notice_queue.rs
@@ -3,6 +3,7 @@
 
 use foldtrack_delivery::Micros;
 use foldtrack_journal::FailureNotice;
+use foldtrack_memory::plan::NOTICE_OVERHEAD_BYTES;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -25,6 +26,11 @@
 }
 
 impl PendingNotice {
+    /// Approximate size in bytes in memory.
+    fn memory_size(&self) -> usize {
+        self.id.len() + NOTICE_OVERHEAD_BYTES
+    }
+
     /// The notice as a line of a report.
     fn line(&self) -> String {
         let PendingNotice { id, notice, .. } = self;
@@ -43,6 +49,8 @@
 /// The queue of notices.
 pub(crate) struct NoticeQueue {
     pending: BTreeMap<u64, PendingNotice>,
+    /// Memory of the pending notices.
+    bytes: usize,
     unsent: BTreeSet<u64>,
     /// How many notices each order key waits for.
     held_keys: HashMap<u64, u32>,
@@ -56,6 +64,7 @@
         if notice.order_key != 0 {
             *self.held_keys.entry(notice.order_key).or_default() += 1;
         }
+        self.bytes += notice.memory_size();
         self.pending.insert(number, notice);
         self.unsent.insert(number);
     }
@@ -64,6 +73,7 @@
     pub fn remove(&mut self, number: u64) -> Option<PendingNotice> {
         self.unsent.remove(&number);
         let notice = self.pending.remove(&number)?;
+        self.bytes -= notice.memory_size();
         if let Some(count) = self.held_keys.get_mut(&notice.order_key) {
             *count -= 1;
             if *count == 0 {
@@ -83,6 +93,11 @@
         self.pending.len()
     }
 
+    /// Memory of the pending notices in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Whether an earlier message with this order key is not settled.
     pub fn holds_key(&self, order_key: u64) -> bool {
         self.held_keys.contains_key(&order_key)
@@ -157,6 +172,11 @@
         for number in 3..=100 {
             notices.remove(number);
         }
-        assert!(notices.is_empty() && notices.held_keys.is_empty() && notices.next_due().is_none());
+        assert!(
+            notices.is_empty()
+                && notices.bytes() == 0
+                && notices.held_keys.is_empty()
+                && notices.next_due().is_none()
+        );
     }
 }
