--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -1,13 +1,11 @@
 //! Runs the forwarder as a process among stand-ins on loopback: delivery rules, restarts, and a
 //! regression test for each failure found.
 
-mod crowd;
 mod deployments;
 mod descriptors;
 mod discovery;
 mod endless;
 mod logs;
-mod memory;
 mod responses;
 mod shutdown;
 mod waits;
