Keep the ids of accepted messages when a flood of refused ones comes

A payment was called twice: its id came again after 31,000 others had been refused at 32 MB (187,000 at 192 MB). Each submission took a place in the queue of expiries, also one that was refused in the next moment, and beyond the maximum the oldest places were given up, whatever stood there. Only accepted ids take a place now, and none whose message is held, or whose notice is owed, is given up.

Open: more accepted messages in 48 s than there is room for (20,700 at 32 MB) still displace delivered ones.

--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -41,7 +41,7 @@
         }
         let id = self.next_number;
         self.next_number += 1;
-        self.ids.insert(&message.id, id, SubmissionState::Undecided, self.clock.now() + self.retention());
+        self.ids.insert(&message.id, id);
         let event = Event::Request {
             id,
             class: message.class as u32,
@@ -194,7 +194,7 @@
         let Some(held) = self.messages.get_mut(&number) else { return };
         held.acceptance = Acceptance::Confirmed;
         let message = held.message.clone();
-        self.ids.set_state(&message.id, SubmissionState::Accepted);
+        self.set_id_state(&message.id, SubmissionState::Accepted);
         self.report_id_accepted(&message.id);
         self.send(number);
     }
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -28,7 +28,7 @@
 use crate::message::Message;
 use crate::notice_queue::NoticeQueue;
 use crate::partner_protocol::PartnerProtocols;
-use crate::registry::{MessageIds, Targets};
+use crate::registry::{MessageIds, SubmissionState, Targets};
 use crate::request_bodies::RequestBodies;
 use foldtrack_admission::DescriptorUser;
 use foldtrack_delivery::settings::DeploymentSettings;
@@ -324,7 +324,9 @@
             for target in self.pool.sweep() {
                 self.preconnect(target);
             }
-            self.ids.forget(self.clock.now(), self.memory.ids);
+            let (messages, notices) = (&self.messages, &self.notices);
+            let is_open = |number| messages.contains_key(&number) || notices.contains(number);
+            self.ids.forget(self.clock.now(), self.memory.ids, is_open);
             self.drop_stale_targets();
             let memory_use = self.memory_use();
             self.memory_log.update(memory_use);
@@ -376,6 +378,12 @@
         2 * self.settings.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0)
     }
 
+    /// Changes the state of a submitted id. From its acceptance on it is remembered for [`Node::retention`].
+    fn set_id_state(&mut self, id: &str, state: SubmissionState) {
+        let until = self.clock.now() + self.retention();
+        self.ids.set_state(id, state, until);
+    }
+
     fn notify_scheduler(&mut self, event: Event) {
         self.scheduler.handle(self.clock.now(), event, &mut self.actions);
     }
--- a/src/bin/foldtrack/node/outcomes.rs
+++ b/src/bin/foldtrack/node/outcomes.rs
@@ -58,7 +58,7 @@
             }
             return self.end_undelivered(number, held, notice);
         }
-        self.ids.set_state(&held.message.id, SubmissionState::Ended);
+        self.set_id_state(&held.message.id, SubmissionState::Ended);
         self.stage_record(number, &Record::FailureNoticed(notice));
         let ending =
             PendingNotice { id: held.message.id.clone(), order_key: held.message.order_key(), notice };
@@ -128,6 +128,7 @@
     /// iteration.
     fn stage_outcome(&mut self, number: u64, held: HeldMessage, result: FinalStatus) {
         self.report_id_ended(&held.message.id, result);
+        let ids_kept_until = self.clock.now() + self.retention();
         let Some(site) = &mut self.site else { return };
         let message = &held.message;
         let class = self.settings.class_names.get(message.class).map_or("", String::as_str);
@@ -172,8 +173,10 @@
             FinalStatus::HandedBack { .. } | FinalStatus::HandedBackUntil { .. } => {
                 self.ids.remove(&message.id)
             }
-            FinalStatus::Delivered => self.ids.set_state(&message.id, SubmissionState::Accepted),
-            _ => self.ids.set_state(&message.id, SubmissionState::Ended),
+            FinalStatus::Delivered => {
+                self.ids.set_state(&message.id, SubmissionState::Accepted, ids_kept_until)
+            }
+            _ => self.ids.set_state(&message.id, SubmissionState::Ended, ids_kept_until),
         }
         match site.outcomes.append(outcome) {
             Ok(_) => site.staged.push((number, result)),
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -28,10 +28,11 @@
     /// Restores one message.
     fn restore(&mut self, number: u64, restored: RecoveredMessage) {
         let RecoveredMessage { accepted, taken: arrived_at, delivered, attempts, notice } = restored;
-        self.ids.insert(&accepted.id, number, SubmissionState::Accepted, self.clock.now() + self.retention());
+        self.ids.insert(&accepted.id, number);
+        self.set_id_state(&accepted.id, SubmissionState::Accepted);
         if let Some(notice) = notice.filter(|_| self.site.is_none()) {
             let order_key = order_key(&accepted.key);
-            self.ids.set_state(&accepted.id, SubmissionState::Ended);
+            self.set_id_state(&accepted.id, SubmissionState::Ended);
             self.notices.insert(number, PendingNotice { id: accepted.id, order_key, notice });
             return;
         }
--- a/src/bin/foldtrack/notice_queue.rs
+++ b/src/bin/foldtrack/notice_queue.rs
@@ -88,6 +88,11 @@
         self.pending.is_empty()
     }
 
+    /// Whether the notice of a message was not acknowledged.
+    pub fn contains(&self, number: u64) -> bool {
+        self.pending.contains_key(&number)
+    }
+
     /// Number of notices that were not acknowledged.
     pub fn len(&self) -> usize {
         self.pending.len()
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -218,26 +218,45 @@
     Ended,
 }
 
+/// A remembered id.
+#[derive(Clone, Copy, Debug)]
+struct IdEntry {
+    /// Number of the message.
+    number: u64,
+    state: SubmissionState,
+}
+
+/// When an id may be forgotten.
+#[derive(Clone, Copy, Debug)]
+struct IdExpiry {
+    at: Micros,
+    /// Hash of the id.
+    hash: u64,
+    /// Number of the message. The id may have been submitted again since.
+    number: u64,
+}
+
 /// The ids of submitted messages, kept for some time after their end: a duplicate of a message that
 /// is held or was delivered recently must not be sent.
 #[derive(Debug, Default)]
 pub(crate) struct MessageIds {
     hasher: RandomState,
-    /// By hash of the id: the message's number and its state.
-    entries: HashMap<u64, (u64, SubmissionState)>,
-    /// When each id expires, in the order of arrival.
-    expiries: VecDeque<(Micros, u64, u64)>,
+    /// By hash of the id.
+    entries: HashMap<u64, IdEntry>,
+    /// The expiries of accepted ids, in the order of acceptance. An undecided id has none: it is
+    /// accepted or removed with the answer to its client, and refused ones displace no other.
+    expiries: VecDeque<IdExpiry>,
 }
 
 impl MessageIds {
     /// The state of a message, if its id is remembered.
     pub fn state(&self, id: &str) -> Option<SubmissionState> {
-        self.entries.get(&self.hasher.hash_one(id)).map(|(_, state)| *state)
+        self.entries.get(&self.hasher.hash_one(id)).map(|entry| entry.state)
     }
 
     /// The number of a message, if its id is remembered.
     pub fn number(&self, id: &str) -> Option<u64> {
-        self.entries.get(&self.hasher.hash_one(id)).map(|(number, _)| *number)
+        self.entries.get(&self.hasher.hash_one(id)).map(|entry| entry.number)
     }
 
     /// Number of ids that are remembered.
@@ -245,16 +264,20 @@
         self.entries.len()
     }
 
-    /// Remembers an id until a time.
-    pub fn insert(&mut self, id: &str, number: u64, state: SubmissionState, until: Micros) {
-        let hash = self.hasher.hash_one(id);
-        self.entries.insert(hash, (number, state));
-        self.expiries.push_back((until, hash, number));
+    /// Remembers the id of a message whose client has no reply yet.
+    pub fn insert(&mut self, id: &str, number: u64) {
+        let entry = IdEntry { number, state: SubmissionState::Undecided };
+        self.entries.insert(self.hasher.hash_one(id), entry);
     }
 
-    /// Changes the state of a remembered id.
-    pub fn set_state(&mut self, id: &str, state: SubmissionState) {
-        self.entries.entry(self.hasher.hash_one(id)).and_modify(|entry| entry.1 = state);
+    /// Changes the state of a remembered id, which is kept until `until` from its acceptance on.
+    pub fn set_state(&mut self, id: &str, state: SubmissionState, until: Micros) {
+        let hash = self.hasher.hash_one(id);
+        let Some(entry) = self.entries.get_mut(&hash) else { return };
+        if entry.state == SubmissionState::Undecided {
+            self.expiries.push_back(IdExpiry { at: until, hash, number: entry.number });
+        }
+        entry.state = state;
     }
 
     /// Forgets an id: the client will, or may, submit the message again.
@@ -262,15 +285,22 @@
         self.entries.remove(&self.hasher.hash_one(id));
     }
 
-    /// Forgets expired ids, and the oldest ones beyond `most`.
-    pub fn forget(&mut self, now: Micros, most: usize) {
-        while let Some((until, hash, number)) = self.expiries.front().copied() {
-            if until > now && self.expiries.len() <= most {
-                break;
+    /// Forgets expired ids, and the oldest ones beyond `most`, but none whose message `is_open`: it is
+    /// held, or its notice is owed.
+    pub fn forget(&mut self, now: Micros, most: usize, is_open: impl Fn(u64) -> bool) {
+        for _ in 0..self.expiries.len() {
+            let Some(expiry) = self.expiries.front().copied() else { return };
+            if expiry.at > now && self.expiries.len() <= most {
+                return;
             }
             self.expiries.pop_front();
-            if self.entries.get(&hash).is_some_and(|entry| entry.0 == number) {
-                self.entries.remove(&hash);
+            if self.entries.get(&expiry.hash).is_none_or(|entry| entry.number != expiry.number) {
+                continue;
+            }
+            if is_open(expiry.number) {
+                self.expiries.push_back(expiry);
+            } else {
+                self.entries.remove(&expiry.hash);
             }
         }
     }
@@ -339,20 +369,49 @@
         assert!(targets.assign(&active("d"), 0, false).is_some());
     }
 
+    /// Remembers an accepted id.
+    fn accept(ids: &mut MessageIds, id: &str, number: u64, until: Micros) {
+        ids.insert(id, number);
+        ids.set_state(id, SubmissionState::Accepted, until);
+    }
+
+    fn nothing_open(_: u64) -> bool {
+        false
+    }
+
     #[test]
     fn ids_are_remembered_until_they_expire_and_up_to_the_limit() {
         let mut ids = MessageIds::default();
         for n in 0..100 {
-            ids.insert(&format!("m{n}"), n, SubmissionState::Accepted, 1_000 + n);
+            accept(&mut ids, &format!("m{n}"), n, 1_000 + n);
         }
         ids.remove("m3");
-        ids.insert("m3", 200, SubmissionState::Undecided, 5_000);
-        ids.forget(1_050, 1_000);
+        ids.insert("m3", 200);
+        ids.forget(1_050, 1_000, nothing_open);
         assert_eq!(
             (ids.state("m49"), ids.state("m51"), ids.state("m3")),
             (None, Some(SubmissionState::Accepted), Some(SubmissionState::Undecided))
         );
-        ids.forget(1_050, 10);
+        ids.set_state("m3", SubmissionState::Accepted, 5_000);
+        ids.forget(1_050, 10, nothing_open);
         assert!(ids.entries.len() == 10 && ids.expiries.len() == 10 && ids.state("m3").is_some());
     }
+
+    #[test]
+    fn refused_ids_displace_no_accepted_one_and_open_messages_keep_theirs() {
+        let mut ids = MessageIds::default();
+        accept(&mut ids, "delivered", 1, 1_000);
+        accept(&mut ids, "held", 2, 1_000);
+        for n in 10..1_000 {
+            ids.insert("refused", n);
+            ids.remove("refused");
+        }
+        ids.forget(500, 2, nothing_open);
+        assert!(ids.state("delivered").is_some() && ids.len() == 2 && ids.expiries.len() == 2);
+        for n in 1_000..1_100 {
+            accept(&mut ids, &format!("m{n}"), n, 1_000);
+        }
+        ids.forget(2_000, 50, |number| number == 2);
+        assert_eq!((ids.len(), ids.state("held")), (1, Some(SubmissionState::Accepted)));
+    }
 }
