Accept no message of a client that has left, and confirm it when its answer is written

A client that wrote 40 payments at once, read nothing and closed had its payments sent on afterwards. hyper reads no end of the stream while pipelined bytes are unread, and a message counted as accepted when its answer was made, before a byte of it was written.

The kernel is asked now whether the client has closed (POLLRDHUP, a reset included), before a message is passed on and before its answer is written; and the receipt is confirmed when the answer has been written to the socket. A message whose answer was not written is forgotten, and its id may come again.

--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -6,7 +6,7 @@
 use crate::events::{EventSender, LoopEvent, Stage, SubmitReply};
 use crate::message::Message;
 use crate::request_bodies::{BodyPermit, ReadError, RequestBodies, MAX_BODY_BYTES};
-use crate::streams::{HeadScan, ScannedStream};
+use crate::streams::{ClientSocket, HeadScan, ScannedStream};
 use bytes::Bytes;
 use foldtrack_admission::{ConnectDecision, RejectReason, RequestDecision};
 use foldtrack_delivery::settings::DeploymentSettings;
@@ -21,7 +21,6 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, SockRef, Socket, Type};
-use std::convert::Infallible;
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
@@ -219,28 +218,31 @@
     let (valid_heads, heads) = (Arc::new(AtomicUsize::new(0)), AtomicUsize::new(0));
     let scan = HeadScan::new(valid_heads.clone());
     let permit = Arc::new(permit);
-    let service_permit = permit.clone();
+    let socket = ClientSocket::new(stream);
+    let (service_permit, service_socket) = (permit.clone(), socket.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let valid_head = heads.fetch_add(1, Ordering::Relaxed) < valid_heads.load(Ordering::Relaxed);
-        let (context, permit) = (context.clone(), service_permit.clone());
+        let (context, permit, socket) = (context.clone(), service_permit.clone(), service_socket.clone());
         let decision = permit.begin_request();
         async move {
             let response = match decision {
-                RequestDecision::Accept => respond(request, valid_head, permit.is_known(), &context).await,
+                RequestDecision::Accept => {
+                    respond(request, valid_head, permit.is_known(), &context, &socket).await?
+                }
                 RequestDecision::Reject { retry_after, .. } => refusal(retry_after.div_ceil(1000)),
             };
             if matches!(response.status(), StatusCode::BAD_REQUEST | StatusCode::REQUEST_TIMEOUT) {
                 permit.penalize();
             }
             let close = permit.end_request(response.status() == StatusCode::ACCEPTED);
-            Ok::<_, Infallible>(if close { with_close(response) } else { response })
+            Ok::<_, ClientLeft>(if close { with_close(response) } else { response })
         }
     });
     let serving = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(ScannedStream::new(stream, scan)), service);
+        .serve_connection(TokioIo::new(ScannedStream::new(socket, scan)), service);
     tokio::pin!(serving);
     // Errors are the client's: it has gone, or does not speak HTTP. A request that has already
     // arrived is read before the connection shuts down; otherwise it would be cut off without an
@@ -263,6 +265,18 @@
     let _ = serving.await;
 }
 
+/// The client of a request has closed its connection: nobody hears an answer, and the message is not accepted.
+#[derive(Clone, Copy, Debug)]
+struct ClientLeft;
+
+impl std::fmt::Display for ClientLeft {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the client has closed its connection")
+    }
+}
+
+impl std::error::Error for ClientLeft {}
+
 /// Whether a connection ended because its client did not read its response.
 fn is_write_timeout(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error).and_then(|e| e.downcast_ref::<io::Error>());
@@ -278,8 +292,8 @@
 
 /// Routes a request. `valid_head` is false if [`HeadScan`] found its framing ambiguous.
 async fn respond(
-    request: Request<Incoming>, valid_head: bool, known: bool, context: &ServerContext,
-) -> Response<Full<Bytes>> {
+    request: Request<Incoming>, valid_head: bool, known: bool, context: &ServerContext, socket: &ClientSocket,
+) -> Result<Response<Full<Bytes>>, ClientLeft> {
     // The bytes after a chunked body can't be parsed safely; see `streams`.
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let response = match (request.method(), request.uri().path()) {
@@ -292,7 +306,7 @@
         }
         (&Method::GET, path) if path.starts_with("/v1/") => {
             let Some(ends_api) = &context.ends_api else {
-                return with_close(empty_response(StatusCode::NOT_FOUND));
+                return Ok(with_close(empty_response(StatusCode::NOT_FOUND)));
             };
             match path.strip_prefix("/v1/messages/") {
                 Some(id) => ends_api::message(id, &context.events).await,
@@ -302,8 +316,8 @@
                 None => empty_response(StatusCode::NOT_FOUND),
             }
         }
-        _ => match submit(request, known, context).await {
-            Ok(response) => response,
+        _ => match read_message(request, known, context).await {
+            Ok((message, _permit)) => submit(message, known, context, socket).await?,
             // The rest of the body is not read.
             Err(StatusCode::SERVICE_UNAVAILABLE) => {
                 with_close(empty_response(StatusCode::SERVICE_UNAVAILABLE))
@@ -313,9 +327,9 @@
     };
     // After a client error the connection is closed.
     if chunked || response.status().is_client_error() || *context.stage.borrow() != Stage::Serving {
-        return with_close(response);
+        return Ok(with_close(response));
     }
-    response
+    Ok(response)
 }
 
 /// A 503 response, with `Retry-After` if the time is known.
@@ -335,23 +349,29 @@
 }
 
 /// Passes a message to the event loop and waits for its decision.
+///
+/// # Errors
+/// The client has left before. It may also leave while its message is decided on: see [`ClientSocket::poll_write`].
 async fn submit(
-    request: Request<Incoming>, known: bool, context: &ServerContext,
-) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let (message, _permit) = read_message(request, known, context).await?;
+    message: Message, known: bool, context: &ServerContext, socket: &ClientSocket,
+) -> Result<Response<Full<Bytes>>, ClientLeft> {
+    if socket.client_has_left() {
+        tracing::info!(request_id = message.id, "client left before its message was accepted");
+        return Err(ClientLeft);
+    }
     let (reply, answer) = oneshot::channel();
     context.events.send(LoopEvent::Submit { message: Arc::new(message), from_known_client: known, reply });
-    match answer.await {
-        Ok(SubmitReply::Accepted(mut receipt)) => {
+    Ok(match answer.await {
+        Ok(SubmitReply::Accepted(receipt)) => {
             // If the client has closed the connection, this future is dropped before it gets here.
-            receipt.written = true;
-            Ok(empty_response(StatusCode::ACCEPTED))
+            socket.add_receipt(receipt);
+            empty_response(StatusCode::ACCEPTED)
         }
-        Ok(SubmitReply::Refused { retry_in_ms }) => Ok(refusal(retry_in_ms)),
-        Ok(SubmitReply::Duplicate { over: false }) => Ok(empty_response(StatusCode::ACCEPTED)),
-        Ok(SubmitReply::Duplicate { over: true }) => Err(StatusCode::CONFLICT),
-        Err(_) => Err(StatusCode::SERVICE_UNAVAILABLE),
-    }
+        Ok(SubmitReply::Refused { retry_in_ms }) => refusal(retry_in_ms),
+        Ok(SubmitReply::Duplicate { over: false }) => empty_response(StatusCode::ACCEPTED),
+        Ok(SubmitReply::Duplicate { over: true }) => empty_response(StatusCode::CONFLICT),
+        Err(_) => with_close(empty_response(StatusCode::SERVICE_UNAVAILABLE)),
+    })
 }
 
 /// Reads a message from a request; the error is the status of the response.
--- a/src/bin/foldtrack/events.rs
+++ b/src/bin/foldtrack/events.rs
@@ -44,10 +44,23 @@
 }
 
 /// Reports to the event loop, when dropped, whether the reply to the client was written.
+#[derive(Debug)]
 pub(crate) struct Receipt {
-    pub number: u64,
-    pub events: EventSender,
-    pub written: bool,
+    number: u64,
+    events: EventSender,
+    written: bool,
+}
+
+impl Receipt {
+    /// The receipt of a message whose reply has not been written.
+    pub fn new(number: u64, events: EventSender) -> Receipt {
+        Receipt { number, events, written: false }
+    }
+
+    /// Reports that the reply was written.
+    pub fn confirm(mut self) {
+        self.written = true;
+    }
 }
 
 impl Drop for Receipt {
@@ -130,7 +143,7 @@
 
 /// Sender of events to the loop. The channel is unbounded, but each connection and each call has at
 /// most one event in flight, and connections and calls are bounded.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub(crate) struct EventSender(UnboundedSender<LoopEvent>);
 
 impl EventSender {
--- a/src/bin/foldtrack/node/group_commit.rs
+++ b/src/bin/foldtrack/node/group_commit.rs
@@ -160,7 +160,7 @@
     fn release(&mut self, group: Group, stored: bool) {
         for (_, number, reply) in group.replies {
             if stored {
-                let receipt = Receipt { number, events: self.events.clone(), written: false };
+                let receipt = Receipt::new(number, self.events.clone());
                 // If the client has disconnected, the receipt is dropped here and reports that
                 // nothing was written.
                 let _ = reply.send(SubmitReply::Accepted(receipt));
--- a/src/bin/foldtrack/streams/client.rs
+++ b/src/bin/foldtrack/streams/client.rs
@@ -1,6 +1,6 @@
 //! The byte stream of a client below hyper's server: header lines that hyper drops, and clients that do not read.
 
-use super::field;
+use super::{field, ClientSocket};
 use crate::read_turns::ReadTurn;
 use foldtrack_admission::pace::{MinimumRate, SlowReaderGuard};
 use std::future::Future;
@@ -11,7 +11,6 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{sleep_until, Instant, Sleep};
 
 /// Minimum rate at which clients read their responses. One that reads a few bytes now and then to
@@ -118,7 +117,7 @@
 /// A client connection whose request heads are scanned on their way to hyper.
 #[derive(Debug)]
 pub(crate) struct ScannedStream {
-    stream: TcpStream,
+    socket: Arc<ClientSocket>,
     scan: HeadScan,
     turn: ReadTurn,
     started: Instant,
@@ -128,9 +127,9 @@
 }
 
 impl ScannedStream {
-    pub fn new(stream: TcpStream, scan: HeadScan) -> ScannedStream {
+    pub fn new(socket: Arc<ClientSocket>, scan: HeadScan) -> ScannedStream {
         ScannedStream {
-            stream,
+            socket,
             scan,
             turn: ReadTurn::new(),
             started: Instant::now(),
@@ -161,8 +160,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
-        let stream = Pin::new(&mut this.stream);
-        ready!(this.turn.poll_read(cx, buf, |cx, buf| stream.poll_read(cx, buf)))?;
+        let socket = &this.socket;
+        ready!(this.turn.poll_read(cx, buf, |cx, buf| socket.poll_read(cx, buf)))?;
         this.scan.read(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
@@ -171,16 +170,17 @@
 impl AsyncWrite for ScannedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let done = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        let done = this.socket.poll_write(cx, bytes);
         this.track_progress(cx, done)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.all_written();
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.socket.shutdown())
     }
 }
 
--- a/src/bin/foldtrack/streams/target.rs
+++ b/src/bin/foldtrack/streams/target.rs
@@ -1,6 +1,7 @@
 //! The byte stream of a target below hyper's client: the first bytes of a response, which hyper does not expose if it can't
 //! parse the rest.
 
+use super::poll_read_socket;
 use super::response_head::ResponseHead;
 use crate::lock::lock_ignoring_poison;
 use crate::read_turns::ReadTurn;
@@ -149,21 +150,6 @@
     }
 }
 
-/// Reads from a socket that is shared.
-fn poll_read_socket(stream: &TcpStream, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-    loop {
-        ready!(stream.poll_read_ready(cx))?;
-        match stream.try_read(buf.initialize_unfilled()) {
-            Ok(count) => {
-                buf.advance(count);
-                return Poll::Ready(Ok(()));
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Poll::Ready(Err(e)),
-        }
-    }
-}
-
 impl AsyncWrite for SharedSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         loop {
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -1,6 +1,7 @@
 //! Runs the forwarder as a process among stand-ins on loopback: delivery rules, restarts, and a
 //! regression test for each failure found.
 
+mod departed;
 mod deployments;
 mod descriptors;
 mod discovery;
--- a/tests/forwarder/world.rs
+++ b/tests/forwarder/world.rs
@@ -329,6 +329,11 @@
 }
 
 impl KeepAliveConnection {
+    /// The socket, once all responses were read.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream.into_inner()
+    }
+
     /// Sends a GET and returns the head of the response in lower case, or none if the connection
     /// has ended.
     pub fn get(&mut self, path: &str) -> Option<String> {
