Do not take a process that came up at the address of another for the one before

And a call to a process that had started again under its id was written to a connection of the process before.

The list's started_ms is read now. A target that a change does not mention is gone when an entry with a later start has its address; targets that share a process started at the same time and all stay, and what one list mentions together stays too. A later start under the same id closes the connections that rest, with the reason TargetRestarted.

Both tests failed before: the message for the old process was called at the new one, and the call after the restart was on a connection opened before. A third, that destinations behind one address are all served, passed before too. Not mended: with started_ms 0 for both nothing tells the processes apart.

--- a/src/bin/foldtrack/connections/pool.rs
+++ b/src/bin/foldtrack/connections/pool.rs
@@ -271,6 +271,13 @@
         endpoint.idle.iter().for_each(|connection| connection.log_close(CloseReason::TargetClosed));
     }
 
+    /// Closes the idle connections of a target and aborts its dials: they lead to a process that has ended.
+    pub fn drop_idle(&mut self, target: TargetId) {
+        let Some(endpoint) = self.by_target.get_mut(&target) else { return };
+        endpoint.idle.drain(..).for_each(|connection| connection.log_close(CloseReason::TargetRestarted));
+        std::mem::take(&mut endpoint.dials).values().for_each(AbortHandle::abort);
+    }
+
     /// Connection statistics of a target.
     pub fn stats(&self, target: TargetId) -> ConnectionStats {
         let Some(e) = self.by_target.get(&target) else { return ConnectionStats::default() };
--- a/src/bin/foldtrack/delivery_log.rs
+++ b/src/bin/foldtrack/delivery_log.rs
@@ -26,6 +26,8 @@
     PoolFull,
     /// The target has sent a response that no request asked for: its connections carry one call.
     SingleUse,
+    /// The process of the target has started again since the connection was opened.
+    TargetRestarted,
     /// Nothing new is sent to the target, or the scheduler closes its idle connections.
     TargetClosed,
 }
--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -26,6 +26,12 @@
     deserializer.deserialize_seq(ReadableEntries)
 }
 
+/// A start time. One that cannot be parsed does not hide its entry.
+fn start_time<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let value = serde_json::Value::deserialize(deserializer)?;
+    Ok(value.as_u64().or_else(|| value.as_f64().map(|ms| ms as u64)).unwrap_or(0))
+}
+
 /// Collects the entries that can be parsed.
 struct ReadableEntries;
 
@@ -64,6 +70,9 @@
     pub state: ServerState,
     #[serde(default)]
     pub weight: f64,
+    /// When the target last started, Unix time in milliseconds; 0 for long ago, or if it cannot be parsed.
+    #[serde(default, deserialize_with = "start_time")]
+    pub started_ms: u64,
     /// Maximum number of concurrent calls to the destination. Set from a site file; discovery does
     /// not send it.
     #[serde(skip)]
--- a/src/bin/foldtrack/membership.rs
+++ b/src/bin/foldtrack/membership.rs
@@ -55,6 +55,7 @@
         let line = |(name, endpoint): (&String, &foldtrack_membership::Endpoint)| {
             let partner = self.site.partners.iter().find(|p| p.name == endpoint.partner)?;
             Some(ServerEntry {
+                started_ms: 0,
                 id: name.clone(),
                 addr: endpoint.address,
                 zone: String::new(),
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -28,7 +28,7 @@
 use crate::message::Message;
 use crate::notice_queue::NoticeQueue;
 use crate::partner_protocol::PartnerProtocols;
-use crate::registry::{MessageIds, SubmissionState, Targets};
+use crate::registry::{Assignment, MessageIds, SubmissionState, Targets};
 use crate::request_bodies::RequestBodies;
 use foldtrack_admission::DescriptorUser;
 use foldtrack_delivery::settings::DeploymentSettings;
@@ -448,11 +448,15 @@
             let kind = index(&self.settings.kind_names, &line.kind);
             let apart =
                 self.settings.settings.independent_routes.get(kind as usize).copied().unwrap_or(false);
-            let Some((target, replaced)) = self.targets.assign(&line, zone, apart) else {
+            let Some(Assignment { target, replaced, restarted }) = self.targets.assign(&line, zone, apart)
+            else {
                 without_room += usize::from(line.state != ServerState::Left);
                 continue;
             };
             listed.insert(target);
+            if restarted {
+                self.pool.drop_idle(target);
+            }
             if let Some(target) = replaced {
                 // The same id at another address is a different target.
                 self.pool.close(target);
@@ -474,6 +478,19 @@
                 hold_until: line.hold_until,
             });
         }
+        for (target, destination) in self.targets.close_taken_over(&listed) {
+            tracing::info!(
+                target = self.targets.name(target),
+                "target gone: another process runs at its address"
+            );
+            self.pool.close(target);
+            endpoints.push(Endpoint {
+                target,
+                destination,
+                state: EndpointState::Gone,
+                ..Endpoint::default()
+            });
+        }
         if without_room > 0 {
             eprintln!("discovery: no memory for {without_room} more targets: they are sent nothing");
         }
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -21,6 +21,8 @@
     gone: bool,
     /// Receives no new calls.
     leaving: bool,
+    /// When its process started, Unix time in milliseconds; 0 for long ago.
+    started_ms: u64,
     /// Calls in flight.
     calls: u32,
     /// Set when no new call may be written to it; read by calls whose connection is not up yet.
@@ -37,6 +39,24 @@
     }
 }
 
+/// The target of an entry of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Assignment {
+    /// Its number.
+    pub target: TargetId,
+    /// The number that it had at another address, zone or destination.
+    pub replaced: Option<TargetId>,
+    /// Its process has started again since the last list: connections to the one before are of no use.
+    pub restarted: bool,
+}
+
+impl Assignment {
+    /// A target that is what it was.
+    fn unchanged(target: TargetId) -> Assignment {
+        Assignment { target, replaced: None, restarted: false }
+    }
+}
+
 /// The targets by number. A number identifies one id at one address of one destination, so that
 /// what was learned of a target, and its connections, never pass to another. Numbers are never
 /// reused.
@@ -63,12 +83,10 @@
         self.by_number.len() + more > self.max
     }
 
-    /// The number of an entry's target, and the number that it replaces, if any. Returns none for a
-    /// target that has left and was never known, and for a new one beyond the maximum. `apart` tells
-    /// whether requested waits and outages apply to this target alone.
-    pub fn assign(
-        &mut self, line: &ServerEntry, zone: u32, apart: bool,
-    ) -> Option<(TargetId, Option<TargetId>)> {
+    /// The target of an entry. Returns none for one that has left and was never known, and for a new
+    /// one beyond the maximum. `apart` tells whether requested waits and outages apply to this target
+    /// alone.
+    pub fn assign(&mut self, line: &ServerEntry, zone: u32, apart: bool) -> Option<Assignment> {
         let (gone, leaving) = (line.state == ServerState::Left, line.state != ServerState::Active);
         let known = self.numbers_by_id.get(&line.id).copied();
         if let Some(server) = known.and_then(|n| self.by_number.get_mut(&n)) {
@@ -77,12 +95,14 @@
             {
                 server.set_state(gone, leaving);
                 server.route.defer_until(line.hold_until);
-                return Some((known?, None));
+                let restarted = line.started_ms > server.started_ms;
+                server.started_ms = server.started_ms.max(line.started_ms);
+                return Some(Assignment { restarted, ..Assignment::unchanged(known?) });
             }
             server.set_state(true, server.leaving);
         }
         if gone || self.is_crowded(1) {
-            return Some((known?, None));
+            return known.map(Assignment::unchanged);
         }
         let number = self.next;
         self.next += 1;
@@ -103,12 +123,36 @@
                 id,
                 gone: false,
                 leaving,
+                started_ms: line.started_ms,
                 calls: 0,
                 closed: Arc::new(AtomicBool::new(leaving)),
                 route,
             },
         );
-        Some((number, known))
+        Some(Assignment { target: number, replaced: known, restarted: false })
+    }
+
+    /// Marks targets as gone whose address a process has taken over that started later, by a list that
+    /// has these `listed` targets and does not mention the ones before. Returns their numbers and
+    /// destinations. Several targets may share one process: then they started at the same time.
+    pub fn close_taken_over(&mut self, listed: &HashSet<TargetId>) -> Vec<(TargetId, u32)> {
+        let mut started: HashMap<SocketAddr, u64> = HashMap::new();
+        for target in listed.iter().filter_map(|number| self.by_number.get(number)).filter(|t| !t.gone) {
+            let latest = started.entry(target.address).or_default();
+            *latest = target.started_ms.max(*latest);
+        }
+        let taken_over = |number: &TargetId, target: &TargetEntry| {
+            let is_older = started.get(&target.address).is_some_and(|latest| target.started_ms < *latest);
+            is_older && !target.gone && !listed.contains(number)
+        };
+        let mut closed = Vec::new();
+        for (number, target) in
+            self.by_number.iter_mut().filter(|(number, target)| taken_over(number, target))
+        {
+            target.set_state(true, target.leaving);
+            closed.push((*number, target.destination));
+        }
+        closed
     }
 
     /// Marks targets that a full list does not contain as gone.
@@ -321,6 +365,7 @@
             cell,
             state,
             weight: 0.0,
+            started_ms: 0,
             slots: None,
         }
     }
@@ -329,22 +374,25 @@
     fn a_number_identifies_one_target_and_is_dropped_when_no_call_refers_to_it() {
         let mut targets = Targets::new(1_024);
         let active = |id: &str, port| line(id, port, 1, ServerState::Active);
-        let (first, none) = targets.assign(&active("a", 1), 0, false).unwrap();
-        assert_eq!(none, None);
-        assert_eq!(targets.assign(&active("a", 1), 0, false), Some((first, None)));
+        let Assignment { target: first, replaced, .. } = targets.assign(&active("a", 1), 0, false).unwrap();
+        assert_eq!(replaced, None);
+        assert_eq!(targets.assign(&active("a", 1), 0, false), Some(Assignment::unchanged(first)));
         assert!(targets.begin_call(first, 0).is_some());
         // The same id at another address gets a new number.
-        let (second, replaced) = targets.assign(&active("a", 2), 0, false).unwrap();
+        let Assignment { target: second, replaced, .. } = targets.assign(&active("a", 2), 0, false).unwrap();
         assert!(second != first && replaced == Some(first));
         assert!(targets.remove_stale(10, 0).is_empty(), "a call is in flight");
         assert!(!targets.end_call(first));
         assert_eq!(targets.remove_stale(10, 0), [first]);
-        assert_eq!(targets.assign(&line("a", 2, 1, ServerState::Left), 0, false), Some((second, None)));
+        assert_eq!(
+            targets.assign(&line("a", 2, 1, ServerState::Left), 0, false),
+            Some(Assignment::unchanged(second))
+        );
         assert_eq!(targets.remove_stale(20, 0), [second]);
         assert_eq!(targets.assign(&line("a", 2, 1, ServerState::Left), 0, false), None);
         assert!(targets.knows_destination(1));
         for n in 0..1000 {
-            let (number, _) = targets.assign(&active(&format!("t{n}"), 3), 0, false).unwrap();
+            let number = targets.assign(&active(&format!("t{n}"), 3), 0, false).unwrap().target;
             assert!(number > second);
             targets.retain_listed(&HashSet::from([number]));
             targets.remove_stale(30, 0);
@@ -357,13 +405,37 @@
         );
     }
 
+    #[test]
+    fn a_target_at_the_address_of_a_later_process_is_gone_and_one_that_shares_a_process_stays() {
+        let mut targets = Targets::new(1_024);
+        let started =
+            |id: &str, started_ms| ServerEntry { started_ms, ..line(id, 1, 1, ServerState::Active) };
+        let assign = |targets: &mut Targets, entry| targets.assign(&entry, 0, false).unwrap();
+        let old = assign(&mut targets, started("a", 5)).target;
+        let beside = assign(&mut targets, started("b", 5)).target;
+        assert!(targets.close_taken_over(&HashSet::from([beside])).is_empty());
+        let new = assign(&mut targets, started("c", 9)).target;
+        assert!(targets.close_taken_over(&HashSet::from([old, beside, new])).is_empty(), "all are listed");
+        assert_eq!(targets.close_taken_over(&HashSet::from([new])), [(old, 1), (beside, 1)]);
+        assert!(!targets.is_open(old) && targets.is_open(new));
+        assert!(
+            assign(&mut targets, started("c", 12)).restarted
+                && !assign(&mut targets, started("c", 12)).restarted
+        );
+    }
+
     #[test]
     fn targets_beyond_the_maximum_find_no_room_until_others_have_left() {
         let mut targets = Targets::new(3);
         let active = |id: &str| line(id, 1, 1, ServerState::Active);
-        let old: Vec<_> = ["a", "b", "c"].map(|id| targets.assign(&active(id), 0, false).unwrap().0).into();
+        let old: Vec<_> =
+            ["a", "b", "c"].map(|id| targets.assign(&active(id), 0, false).unwrap().target).into();
         assert!(targets.is_crowded(1) && targets.assign(&active("d"), 0, false).is_none());
-        assert_eq!(targets.assign(&active("a"), 0, false), Some((old[0], None)), "a known one stays");
+        assert_eq!(
+            targets.assign(&active("a"), 0, false),
+            Some(Assignment::unchanged(old[0])),
+            "a known one stays"
+        );
         targets.retain_ids(&HashSet::from(["a", "d"]));
         assert_eq!(targets.remove_stale(10, 0), old[1..]);
         assert!(targets.assign(&active("d"), 0, false).is_some());
--- a/tests/forwarder/main.rs
+++ b/tests/forwarder/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod endless;
 mod logs;
+mod replaced;
 mod responses;
 mod shutdown;
 mod waits;
