--- a/src/bin/foldtrack/memory_log.rs
+++ b/src/bin/foldtrack/memory_log.rs
@@ -1,5 +1,6 @@
 //! Tells the memory of the process against its limit in the log, before the process can be ended for it.
 
+use foldtrack_memory::plan::{CLIENT_BYTES, ID_BYTES, TARGET_BYTES, TARGET_CONNECTION_BYTES};
 use procfs::process::Process;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -26,12 +27,26 @@
     pub held_bytes: usize,
     /// Number of ids that are remembered.
     pub ids: usize,
+    /// Number of targets.
+    pub targets: usize,
     /// Number of notices that the platform has not acknowledged.
     pub notices: usize,
     /// The journal's files, which count where the folder is in memory.
     pub journal_files: u64,
 }
 
+impl MemoryUse {
+    /// The memory that all this takes at the most, in bytes, beside the program and its files.
+    pub fn accounted(&self) -> usize {
+        self.client_connections * CLIENT_BYTES
+            + self.target_connections * TARGET_CONNECTION_BYTES
+            + self.body_bytes
+            + self.held_bytes
+            + self.ids * ID_BYTES
+            + self.targets * TARGET_BYTES
+    }
+}
+
 /// When the memory was logged last, and how much it was.
 #[derive(Debug)]
 pub(crate) struct MemoryLog {
@@ -67,11 +82,11 @@
             return;
         }
         self.logged = Some((now, resident));
-        let limit = self.limit;
+        let (limit, accounted) = (self.limit, held.accounted());
         if resident >= limit / 100 * WARNING_PERCENT {
-            tracing::warn!(resident, peak, limit, ?held, "memory");
+            tracing::warn!(resident, peak, limit, accounted, ?held, "memory");
         } else {
-            tracing::info!(resident, peak, limit, ?held, "memory");
+            tracing::info!(resident, peak, limit, accounted, ?held, "memory");
         }
     }
 }
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -350,6 +350,7 @@
             held: self.messages.len(),
             held_bytes: self.messages.bytes() + self.notices.bytes(),
             ids: self.ids.len(),
+            targets: self.targets.len(),
             notices: self.notices.len(),
             journal_files: self.journal.disk_bytes(),
         }
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -78,6 +78,11 @@
         Targets { max, ..Targets::default() }
     }
 
+    /// Number of targets, those included that have left and were not dropped yet.
+    pub fn len(&self) -> usize {
+        self.by_number.len()
+    }
+
     /// Whether so many more may not all find room.
     pub fn is_crowded(&self, more: usize) -> bool {
         self.by_number.len() + more > self.max
--- a/tests/overload/main.rs
+++ b/tests/overload/main.rs
@@ -4,6 +4,7 @@
 mod crowd;
 mod flood;
 mod memory;
+mod soak;
 #[allow(dead_code, reason = "shared with the tests of the forwarder")]
 #[path = "../forwarder/world.rs"]
 mod world;
--- a/tests/overload/memory.rs
+++ b/tests/overload/memory.rs
@@ -107,9 +107,18 @@
     Behavior::silent_after(format!("POST /fee HTTP/1.1\r\nHost: f\r\n{fields}").into_bytes())
 }
 
-mod crowds {
+pub mod crowds {
     use super::*;
 
+    /// What the clients of a crowd do.
+    pub const BEHAVIORS: [fn() -> Behavior; 5] = [
+        bodies_byte_by_byte,
+        chunks_byte_by_byte,
+        fast_chunks_then_silence,
+        most_of_a_body_then_silence,
+        head_of_short_fields,
+    ];
+
     crowds! {
         bodies_sent_byte_by_byte_stay_under_192_mb: bodies_byte_by_byte(), 192;
         bodies_sent_byte_by_byte_stay_under_64_mb: bodies_byte_by_byte(), 64;
@@ -212,3 +221,51 @@
         assert!(before <= 32_000_000 && after <= 32_000_000, "{before}, {after}");
     }
 }
+
+mod account {
+    use super::*;
+
+    /// Messages that are held, and the bytes of each.
+    const BACKLOG: usize = 200;
+    const BODY_BYTES: usize = 4_000;
+    /// What may come and go between two lines of the log at 32 MB: all request bodies, and all client connections with
+    /// their buffers in the process.
+    const UNSEEN_BYTES: u64 = 1_400_000 + 67 * 28 * 1024;
+
+    /// A field of a line of the memory log.
+    fn field(line: &str, name: &str) -> u64 {
+        let text = line.split(&format!("{name}=")).nth(1).unwrap();
+        text.split(|c: char| !c.is_ascii_digit()).next().unwrap().parse().unwrap()
+    }
+
+    // Guards against a use of memory that no count knows of.
+    #[test]
+    fn the_account_covers_what_the_process_has_beside_a_backlog_and_a_crowd() {
+        let _alone = one_crowd_at_a_time();
+        let target = Server::start(|_| Reply::Silence);
+        let platform = Platform::start(vec![list_entry("s-1", target.address, 1, "active")]);
+        let forwarder = limited_forwarder(&platform, 32);
+        sleep(MS(1_500));
+        let held = (0..BACKLOG).filter(|n| {
+            let message = update(&format!("m{n}"), &format!("k{n}")).body(vec![b'x'; BODY_BYTES]);
+            forwarder.submit(&message) == 202
+        });
+        assert_eq!(held.count(), BACKLOG);
+        let crowd = Crowd::start(forwarder.listen, CROWD_SIZE, &most_of_a_body_then_silence());
+        sleep(DISTURBANCE);
+        drop(crowd);
+        let log = forwarder.log();
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains(" memory resident=")).collect();
+        assert!(lines.len() > 1, "{lines:?}");
+        let (first, mut accounted) = (field(lines[0], "resident"), 0);
+        for line in &lines {
+            accounted = accounted.max(field(line, "accounted"));
+            let grown = field(line, "resident").saturating_sub(first);
+            assert!(
+                grown <= accounted + UNSEEN_BYTES,
+                "{grown} bytes more, {accounted} accounted for: {line}"
+            );
+        }
+        println!("{}", lines.last().unwrap());
+    }
+}
