--- a/crates/memory/src/plan.rs
+++ b/crates/memory/src/plan.rs
@@ -22,13 +22,18 @@
 
 /// Memory of the program before any peer does anything, in bytes.
 pub const PROGRAM_BYTES: usize = 7_000_000;
-/// Buffers that are requested of the kernel for a client connection, in bytes. It doubles them (socket(7)).
-pub const CLIENT_RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+/// Buffers that are requested of the kernel for a client connection, in bytes. It doubles them (socket(7)). The one for
+/// requests is larger where the limit leaves room: large bodies take fewer reads then.
+const MIN_RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+const MAX_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// The buffer for responses that the client has not read.
 pub const CLIENT_SEND_BUFFER_BYTES: usize = 8 * 1024;
-/// Bytes of a client connection: its task, buffers for a request head and a response, and a small body; and what the kernel
-/// holds that was not read.
-pub const CLIENT_BYTES: usize = 28 * 1024 + 2 * (CLIENT_RECEIVE_BUFFER_BYTES + CLIENT_SEND_BUFFER_BYTES);
+/// Bytes of a client connection: its task, buffers for a request head and a response, and a small body.
+const CLIENT_USER_BYTES: usize = 28 * 1024;
+/// The same with what the kernel holds that was not read.
+pub const CLIENT_BYTES: usize = CLIENT_USER_BYTES + 2 * (MIN_RECEIVE_BUFFER_BYTES + CLIENT_SEND_BUFFER_BYTES);
+/// The receive buffers may take one part in this many of what all other uses leave.
+const SPARE_DIVISOR: usize = 2;
 /// Bytes of a connection to a target: its task, and the buffers of a call.
 pub const TARGET_CONNECTION_BYTES: usize = 28 * 1024;
 /// Bytes of a remembered id, in tables that may be half empty.
@@ -73,6 +78,8 @@
     pub limit: usize,
     /// Maximum number of client connections.
     pub client_connections: usize,
+    /// Receive buffer to request for each of them.
+    pub client_receive_buffer: usize,
     /// Request bodies beyond the small one that each connection may hold.
     pub bodies: usize,
     /// Held messages and notices, with their overhead.
@@ -97,9 +104,10 @@
         let remaining = limit.saturating_sub(fixed + demand.held.unwrap_or(0));
         let share = |parts: usize| remaining / PARTS * parts;
         let most_clients = (share(CLIENT_PARTS) / CLIENT_BYTES).max(MIN_CLIENT_CONNECTIONS);
-        MemoryPlan {
+        let plan = MemoryPlan {
             limit,
             client_connections: demand.client_connections.min(most_clients),
+            client_receive_buffer: MIN_RECEIVE_BUFFER_BYTES,
             bodies: share(BODY_PARTS).max(MIN_BODY_BYTES),
             held: demand.held.unwrap_or(share(HELD_PARTS)).max(MIN_HELD_BYTES),
             ids: (share(ID_PARTS) / ID_BYTES).max(MIN_IDS),
@@ -108,13 +116,18 @@
             list: (share(LIST_PARTS) / LIST_COPIES).clamp(MIN_LIST_BYTES, MAX_LIST_BYTES),
             targets: (share(TARGET_PARTS) / TARGET_BYTES).max(MIN_TARGETS),
             fixed,
-        }
+        };
+        let spare = limit.saturating_sub(plan.maximum()) / SPARE_DIVISOR;
+        let more = spare / (2 * plan.client_connections.max(1));
+        let client_receive_buffer = (MIN_RECEIVE_BUFFER_BYTES + more).min(MAX_RECEIVE_BUFFER_BYTES);
+        MemoryPlan { client_receive_buffer, ..plan }
     }
 
     /// The most that all uses together may hold.
     pub fn maximum(&self) -> usize {
         self.fixed
-            + self.client_connections * CLIENT_BYTES
+            + self.client_connections
+                * (CLIENT_USER_BYTES + 2 * (self.client_receive_buffer + CLIENT_SEND_BUFFER_BYTES))
             + self.bodies
             + self.held
             + self.ids * ID_BYTES
--- a/src/bin/foldtrack/client_server.rs
+++ b/src/bin/foldtrack/client_server.rs
@@ -12,7 +12,7 @@
 use foldtrack_admission::{ConnectDecision, RejectReason, RequestDecision};
 use foldtrack_delivery::settings::DeploymentSettings;
 use foldtrack_delivery::Micros;
-use foldtrack_memory::plan::{CLIENT_RECEIVE_BUFFER_BYTES, CLIENT_SEND_BUFFER_BYTES};
+use foldtrack_memory::plan::CLIENT_SEND_BUFFER_BYTES;
 use foldtrack_memory::Priority;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -74,13 +74,13 @@
 ///
 /// # Errors
 /// The address can't be bound.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub(crate) fn listen(address: SocketAddr, receive_buffer: usize) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     // Connections left over from a previous process must not prevent binding.
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     // Accepted sockets inherit the buffers. A system that refuses the sizes keeps its own.
-    let _ = socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES);
+    let _ = socket.set_recv_buffer_size(receive_buffer);
     let _ = socket.set_send_buffer_size(CLIENT_SEND_BUFFER_BYTES);
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -249,7 +249,7 @@
     if reports_updates {
         batch.extend(timeout(FIRST_LIST_TIMEOUT, receiver.recv()).await.ok().flatten());
     }
-    let listener = client_server::listen(config.listen)?;
+    let listener = client_server::listen(config.listen, config.memory.client_receive_buffer)?;
     let context = ServerContext { settings, clock, events, stage: stage_seen, bodies, ends_api, ready };
     tokio::spawn(follow_limit(config.descriptor_plan, config.client_connections.clone()));
     tokio::spawn(client_server::serve(listener, Arc::new(context), config.client_connections));
--- a/tests/overload/memory.rs
+++ b/tests/overload/memory.rs
@@ -230,7 +230,7 @@
     const BODY_BYTES: usize = 4_000;
     /// What may come and go between two lines of the log at 32 MB: all request bodies, and all client connections with
     /// their buffers in the process.
-    const UNSEEN_BYTES: u64 = 1_400_000 + 67 * 28 * 1024;
+    const UNSEEN_BYTES: u64 = 1_400_000 + 64 * 28 * 1024;
 
     /// A field of a line of the memory log.
     fn field(line: &str, name: &str) -> u64 {
