--- a/crates/memory/src/bodies.rs
+++ b/crates/memory/src/bodies.rs
@@ -59,6 +59,7 @@
     next: u64,
     /// Bodies that gave way since [`BodyBuffers::take_evicted`] was called.
     evicted: Vec<Ticket>,
+    refused: u64,
 }
 
 /// What a buffer of this capacity counts.
@@ -77,6 +78,7 @@
             bodies: BTreeMap::new(),
             next: 0,
             evicted: Vec::new(),
+            refused: 0,
         }
     }
 
@@ -117,7 +119,7 @@
         let (priority, more) = (body.priority, counted_bytes(capacity).saturating_sub(body.counted));
         while !self.has_room(priority, more) {
             let Some(oldest) = self.oldest_that_counts(priority) else {
-                self.remove(ticket);
+                self.refuse(ticket);
                 return Err(BodyError::NoRoom);
             };
             self.evict(oldest);
@@ -165,10 +167,15 @@
     }
 
     fn evict(&mut self, ticket: Ticket) {
-        self.remove(ticket);
+        self.refuse(ticket);
         self.evicted.push(ticket);
     }
 
+    fn refuse(&mut self, ticket: Ticket) {
+        self.remove(ticket);
+        self.refused += 1;
+    }
+
     /// Bodies that gave way since the last call.
     pub fn take_evicted(&mut self) -> Vec<Ticket> {
         std::mem::take(&mut self.evicted)
@@ -198,6 +205,11 @@
         self.used
     }
 
+    /// How many bodies gave way or found no room so far.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
     /// Number of bodies, complete ones included.
     pub fn count(&self) -> usize {
         self.bodies.len()
--- a/crates/memory/tests/bodies.rs
+++ b/crates/memory/tests/bodies.rs
@@ -43,7 +43,7 @@
     let held: Vec<_> = (0..9).map(|_| read(&mut buffers, 60_000, Priority::Known).unwrap()).collect();
     let sound = read(&mut buffers, 60_000, Priority::Known).unwrap();
     assert_eq!(buffers.complete(sound).map(|bytes| bytes.len()), Ok(60_000));
-    assert_eq!(buffers.take_evicted(), held[..1]);
+    assert_eq!((buffers.take_evicted(), buffers.refused()), (held[..1].to_vec(), 1));
     assert_eq!(buffers.append(held[0], b"x"), Err(BodyError::NoRoom));
     assert!(buffers.append(held[1], b"x").is_ok() && buffers.used() <= LIMIT);
 }
--- a/src/bin/foldtrack/memory_log.rs
+++ b/src/bin/foldtrack/memory_log.rs
@@ -21,6 +21,8 @@
     pub target_connections: usize,
     /// Request bodies that are being read, beyond a small one for each connection.
     pub body_bytes: usize,
+    /// Bodies that gave way to others, or found no room, since the start.
+    pub refused_bodies: u64,
     /// Messages that were accepted and have not ended.
     pub held: usize,
     /// What these messages and the notices take.
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -347,6 +347,7 @@
             client_connections: self.descriptors.held(DescriptorUser::Clients),
             target_connections: self.descriptors.held(DescriptorUser::Calls),
             body_bytes: self.bodies.used(),
+            refused_bodies: self.bodies.refused(),
             held: self.messages.len(),
             held_bytes: self.messages.bytes() + self.notices.bytes(),
             ids: self.ids.len(),
--- a/src/bin/foldtrack/request_bodies.rs
+++ b/src/bin/foldtrack/request_bodies.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// How many bodies gave way or found no room so far.
+    pub fn refused(&self) -> u64 {
+        lock_ignoring_poison(&self.buffers).bodies.refused()
+    }
+
     /// Bytes of the bodies beyond the small one of each connection.
     pub fn used(&self) -> usize {
         lock_ignoring_poison(&self.buffers).bodies.used()
