--- a/src/bin/foldtrack/main.rs
+++ b/src/bin/foldtrack/main.rs
@@ -23,6 +23,7 @@
 mod membership;
 mod memory_log;
 mod message;
+mod message_ids;
 mod message_view;
 mod node;
 mod notice_queue;
--- a/src/bin/foldtrack/node/intake.rs
+++ b/src/bin/foldtrack/node/intake.rs
@@ -4,7 +4,7 @@
 use super::{Acceptance, HeldMessage, Node, PendingSend};
 use crate::events::SubmitReply;
 use crate::message::Message;
-use crate::registry::SubmissionState;
+use crate::message_ids::SubmissionState;
 use foldtrack_delivery::{Event, Outcome};
 use foldtrack_ends::FinalStatus;
 use foldtrack_journal::{Accepted, Record};
--- a/src/bin/foldtrack/node/outcomes.rs
+++ b/src/bin/foldtrack/node/outcomes.rs
@@ -3,9 +3,9 @@
 use super::{Acceptance, HeldMessage, Node};
 use crate::delivery_log;
 use crate::events::SubmitReply;
+use crate::message_ids::SubmissionState;
 use crate::notice_queue::PendingNotice;
 use crate::platform;
-use crate::registry::SubmissionState;
 use foldtrack_delivery::{Effect, Micros};
 use foldtrack_ends::{FinalStatus, MessageOutcomeRef};
 use foldtrack_journal::{FailureNotice, Record};
--- a/src/bin/foldtrack/node/restore.rs
+++ b/src/bin/foldtrack/node/restore.rs
@@ -3,8 +3,8 @@
 use super::outcomes::DEDUP_MARGIN_US;
 use super::{Acceptance, HeldMessage, Node};
 use crate::message::{order_key, Message};
+use crate::message_ids::SubmissionState;
 use crate::notice_queue::PendingNotice;
-use crate::registry::SubmissionState;
 use foldtrack_delivery::{Effect, Event, Outcome};
 use foldtrack_ends::Attempt;
 use foldtrack_journal::{AttemptEffect, AttemptRecord, FailureNotice, Record, RecoveredMessage};
