--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-/// Characters of an entry that cannot be parsed which are logged.
+/// How much of an entry that is skipped is logged, in characters.
 const MAX_SHOWN_CHARS: usize = 200;
 
 /// A full list, or the changes since a version.
@@ -28,8 +28,8 @@
 
 /// A start time. One that cannot be parsed does not hide its entry.
 fn start_time<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    let value = serde_json::Value::deserialize(deserializer)?;
-    Ok(value.as_u64().or_else(|| value.as_f64().map(|ms| ms as u64)).unwrap_or(0))
+    let text = <&RawValue>::deserialize(deserializer)?.get();
+    Ok(text.parse().or_else(|_| text.parse::<f64>().map(|ms| ms as u64)).unwrap_or(0))
 }
 
 /// Collects the entries that can be parsed.
--- a/tests/overload/memory.rs
+++ b/tests/overload/memory.rs
@@ -183,6 +183,51 @@
     }
 }
 
+mod lists_that_grow {
+    use super::*;
+    use std::sync::atomic::AtomicU32;
+
+    /// Length of a value in a list, close to the longest list at 32 MB.
+    const LARGE_BYTES: usize = 1_200_000;
+    /// For how long discovery sends such lists.
+    const GROWTH: Duration = Duration::from_secs(4);
+
+    /// Sends `changes` as the change of each version, and checks the memory and that the first target is still called.
+    fn assert_bounded(changes: impl Fn(u32, &Server) -> Vec<serde_json::Value> + Send + Sync + 'static) {
+        let _alone = one_crowd_at_a_time();
+        let target = Server::start(|_| OK);
+        let platform = Platform::start(vec![list_entry("s-1", target.address, 1, "active")]);
+        let mut forwarder = limited_forwarder(&platform, 32);
+        let (versions, shown) = (AtomicU32::new(10), target.clone());
+        platform.server.behave(move |request| {
+            if request.method == "POST" {
+                return Reply::Status(204, "");
+            }
+            let version = versions.fetch_add(1, Ordering::SeqCst);
+            let list =
+                serde_json::json!({"version": version, "full": false, "servers": changes(version, &shown)});
+            Reply::Body(list.to_string().into())
+        });
+        sleep(GROWTH);
+        assert!(forwarder.is_running(), "the process has ended by itself");
+        let peak = peak_memory(forwarder.pid());
+        println!("peak {peak}");
+        assert!(peak <= 32_000_000, "{peak}");
+        assert_eq!(forwarder.submit(&fee("after")), 202);
+        eventually("the call", || target.ids() == ["after"]);
+    }
+
+    // Guards against a field of an entry that takes many times its length when it is parsed.
+    #[test]
+    fn a_large_value_in_an_entry_stays_under_32_mb() {
+        assert_bounded(|version, target| {
+            let mut entry = list_entry(&format!("s-{version}"), target.address, 2, "active");
+            entry["started_ms"] = vec![0; LARGE_BYTES / 2].into();
+            vec![entry]
+        });
+    }
+}
+
 mod held {
     use super::*;
 
