Skip entries of the list whose ids have more than 256 bytes

Ids are kept with their targets, and only the number of these was bounded: changes with ever new ids of 1.2 MB ended a process with 32 MB by itself.

--- a/src/bin/foldtrack/list.rs
+++ b/src/bin/foldtrack/list.rs
@@ -9,6 +9,8 @@
 
 /// How much of an entry that is skipped is logged, in characters.
 const MAX_SHOWN_CHARS: usize = 200;
+/// Maximum length of a target's id. Ids are kept for as long as their targets.
+const MAX_ID_BYTES: usize = 256;
 
 /// A full list, or the changes since a version.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -32,6 +34,18 @@
     Ok(text.parse().or_else(|_| text.parse::<f64>().map(|ms| ms as u64)).unwrap_or(0))
 }
 
+/// Reads one entry.
+///
+/// # Errors
+/// Why the entry is skipped.
+fn read_entry(text: &str) -> Result<ServerEntry, String> {
+    let entry: ServerEntry = serde_json::from_str(text).map_err(|error| error.to_string())?;
+    match entry.id.len() {
+        0..=MAX_ID_BYTES => Ok(entry),
+        length => Err(format!("an id of {length} bytes, {MAX_ID_BYTES} are the most")),
+    }
+}
+
 /// Collects the entries that can be parsed.
 struct ReadableEntries;
 
@@ -45,7 +59,7 @@
     fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<ServerEntry>, A::Error> {
         let mut readable = Vec::new();
         while let Some(text) = entries.next_element::<Box<RawValue>>()? {
-            match serde_json::from_str(text.get()) {
+            match read_entry(text.get()) {
                 Ok(entry) => readable.push(entry),
                 Err(error) => {
                     let shown: String = text.get().chars().take(MAX_SHOWN_CHARS).collect();
--- a/tests/overload/memory.rs
+++ b/tests/overload/memory.rs
@@ -226,6 +226,15 @@
             vec![entry]
         });
     }
+
+    // Guards against ids of any length that are kept with their targets.
+    #[test]
+    fn ever_new_long_ids_stay_under_32_mb() {
+        assert_bounded(|version, target| {
+            let id = format!("{version}{}", "x".repeat(LARGE_BYTES));
+            vec![list_entry(&id, target.address, 2, "active")]
+        });
+    }
 }
 
 mod held {
