Bound the destinations that are remembered by the memory

A destination is remembered for twice the longest deadline after its last target has left, and the scheduler keeps what it learned of it: changes of 3,000 new destinations each, 20 times a second, ended a process with 32 MB by itself.

--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -62,7 +62,7 @@
     numbers_by_id: HashMap<String, TargetId>,
     by_number: BTreeMap<TargetId, TargetEntry>,
     next: TargetId,
-    /// Maximum number of targets.
+    /// Maximum number of targets, and of destinations.
     max: usize,
     /// Destinations, and when each last had a target.
     last_seen: BTreeMap<u32, Micros>,
@@ -80,13 +80,19 @@
         self.by_number.len()
     }
 
+    /// Whether a destination is remembered, or another one can be. They are remembered for longer than
+    /// their targets.
+    fn has_room_for_destination(&self, destination: u32) -> bool {
+        self.knows_destination(destination) || self.last_seen.len() < self.max
+    }
+
     /// Whether so many more may not all find room.
     pub fn is_crowded(&self, more: usize) -> bool {
         self.by_number.len() + more > self.max
     }
 
     /// The target of an entry. Returns none for one that has left and was never known, and for a new
-    /// one beyond the maximum. `apart` tells whether requested waits and outages apply to this target
+    /// one beyond the maximum of targets or of destinations. `apart` tells whether requested waits and outages apply to this target
     /// alone.
     pub fn assign(&mut self, line: &ServerEntry, zone: u32, apart: bool) -> Option<Assignment> {
         let (gone, leaving) = (line.state == ServerState::Left, line.state != ServerState::Active);
@@ -103,9 +109,13 @@
             }
             server.set_state(true, server.leaving);
         }
-        if gone || self.is_crowded(1) {
+        if gone {
+            return known.map(Assignment::unchanged);
+        }
+        if self.is_crowded(1) || !self.has_room_for_destination(line.cell) {
             return known.map(Assignment::unchanged);
         }
+        self.last_seen.entry(line.cell).or_default();
         let number = self.next;
         self.next += 1;
         self.numbers_by_id.insert(line.id.clone(), number);
--- a/tests/overload/memory.rs
+++ b/tests/overload/memory.rs
@@ -189,6 +189,8 @@
 
     /// Length of a value in a list, close to the longest list at 32 MB.
     const LARGE_BYTES: usize = 1_200_000;
+    /// Destinations of a list of which all are new.
+    const NEW_DESTINATIONS: u32 = 3_000;
     /// For how long discovery sends such lists.
     const GROWTH: Duration = Duration::from_secs(4);
 
@@ -235,6 +237,19 @@
             vec![list_entry(&id, target.address, 2, "active")]
         });
     }
+
+    // Guards against destinations that are remembered after their targets have left, however many there are.
+    #[test]
+    fn ever_new_destinations_stay_under_32_mb() {
+        assert_bounded(|version, target| {
+            let first = version * NEW_DESTINATIONS;
+            let new = (first..first + NEW_DESTINATIONS)
+                .map(|cell| list_entry(&format!("s-{cell}"), target.address, cell, "active"));
+            let old = (first - NEW_DESTINATIONS..first)
+                .map(|cell| list_entry(&format!("s-{cell}"), target.address, cell, "left"));
+            old.chain(new).collect()
+        });
+    }
 }
 
 mod held {
