Close a target that moves and finds no room, and let it take the room of the one before

Where the registry was full, a target that the list had at another address was told to the scheduler as ready under its old number, which the registry had closed: messages for it were decided on and not sent, again and again. One that moves needs no more room than it had and gets a number now; only a new destination beyond the maximum closes it. Found by reading the change again; the test of a move failed before, that of a new destination came with the fix.

--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -451,11 +451,11 @@
             let kind = index(&self.settings.kind_names, &line.kind);
             let apart =
                 self.settings.settings.independent_routes.get(kind as usize).copied().unwrap_or(false);
-            let Some(Assignment { target, replaced, restarted }) = self.targets.assign(&line, zone, apart)
-            else {
+            let Some(assignment) = self.targets.assign(&line, zone, apart) else {
                 without_room += usize::from(line.state != ServerState::Left);
                 continue;
             };
+            let Assignment { target, replaced, restarted } = assignment;
             listed.insert(target);
             if restarted {
                 self.pool.drop_idle(target);
@@ -466,6 +466,10 @@
                 let (destination, state) = (line.cell, EndpointState::Gone);
                 endpoints.push(Endpoint { target, destination, state, ..Endpoint::default() });
             }
+            if assignment.lacks_room() {
+                without_room += 1;
+                continue;
+            }
             endpoints.push(Endpoint {
                 target,
                 destination: line.cell,
--- a/src/bin/foldtrack/registry.rs
+++ b/src/bin/foldtrack/registry.rs
@@ -52,6 +52,16 @@
     fn unchanged(target: TargetId) -> Assignment {
         Assignment { target, replaced: None, restarted: false }
     }
+
+    /// A target that is gone, and that finds no room where the list has it now.
+    fn without_room(target: TargetId) -> Assignment {
+        Assignment { replaced: Some(target), ..Assignment::unchanged(target) }
+    }
+
+    /// Whether the target is gone and has no successor, for lack of room.
+    pub fn lacks_room(&self) -> bool {
+        self.replaced == Some(self.target)
+    }
 }
 
 /// The targets by number. A number identifies one id at one address of one destination, so that
@@ -112,8 +122,10 @@
         if gone {
             return known.map(Assignment::unchanged);
         }
-        if self.is_crowded(1) || !self.has_room_for_destination(line.cell) {
-            return known.map(Assignment::unchanged);
+        // One that has moved takes the room of the one before, which is dropped next.
+        let has_room = known.is_some() || !self.is_crowded(1);
+        if !has_room || !self.has_room_for_destination(line.cell) {
+            return known.map(Assignment::without_room);
         }
         self.last_seen.entry(line.cell).or_default();
         let number = self.next;
--- a/src/bin/foldtrack/registry_tests.rs
+++ b/src/bin/foldtrack/registry_tests.rs
@@ -85,3 +85,21 @@
     assert_eq!(targets.remove_stale(10, 0), old[1..]);
     assert!(targets.assign(&active("d"), 0, false).is_some());
 }
+
+#[test]
+fn a_target_that_moves_finds_room_among_as_many_as_there_may_be() {
+    let mut targets = Targets::new(1);
+    let old = targets.assign(&line("a", 1, 1, ServerState::Active), 0, false).unwrap().target;
+    let moved = targets.assign(&line("a", 2, 1, ServerState::Active), 0, false).unwrap();
+    assert_eq!(moved.replaced, Some(old));
+    assert!(targets.is_open(moved.target) && !targets.is_open(old));
+}
+
+#[test]
+fn a_target_that_moves_to_a_destination_without_room_is_gone_where_it_was() {
+    let mut targets = Targets::new(1);
+    let old = targets.assign(&line("a", 1, 1, ServerState::Active), 0, false).unwrap().target;
+    let moved = targets.assign(&line("a", 2, 2, ServerState::Active), 0, false).unwrap();
+    assert!(moved.lacks_room() && moved.replaced == Some(old) && !targets.is_open(old));
+    assert!(!targets.knows_destination(2));
+}
