--- a/crates/memory/src/plan.rs
+++ b/crates/memory/src/plan.rs
@@ -30,8 +30,6 @@
 pub const CLIENT_SEND_BUFFER_BYTES: usize = 8 * 1024;
 /// Bytes of a client connection: its task, buffers for a request head and a response, and a small body.
 const CLIENT_USER_BYTES: usize = 28 * 1024;
-/// The same with what the kernel holds that was not read.
-pub const CLIENT_BYTES: usize = CLIENT_USER_BYTES + 2 * (MIN_RECEIVE_BUFFER_BYTES + CLIENT_SEND_BUFFER_BYTES);
 /// The receive buffers may take one part in this many of what all other uses leave.
 const SPARE_DIVISOR: usize = 2;
 /// Bytes of a connection to a target: its task, and the buffers of a call.
@@ -96,6 +94,11 @@
     pub fixed: usize,
 }
 
+/// Bytes of a client connection with what the kernel may hold that was not read.
+const fn client_bytes(receive_buffer: usize) -> usize {
+    CLIENT_USER_BYTES + 2 * (receive_buffer + CLIENT_SEND_BUFFER_BYTES)
+}
+
 impl MemoryPlan {
     /// Divides a limit in bytes.
     pub fn new(limit: usize, demand: Demand) -> MemoryPlan {
@@ -103,7 +106,8 @@
         let fixed = PROGRAM_BYTES + demand.calls * TARGET_CONNECTION_BYTES + files;
         let remaining = limit.saturating_sub(fixed + demand.held.unwrap_or(0));
         let share = |parts: usize| remaining / PARTS * parts;
-        let most_clients = (share(CLIENT_PARTS) / CLIENT_BYTES).max(MIN_CLIENT_CONNECTIONS);
+        let most_clients =
+            (share(CLIENT_PARTS) / client_bytes(MIN_RECEIVE_BUFFER_BYTES)).max(MIN_CLIENT_CONNECTIONS);
         let plan = MemoryPlan {
             limit,
             client_connections: demand.client_connections.min(most_clients),
@@ -123,11 +127,15 @@
         MemoryPlan { client_receive_buffer, ..plan }
     }
 
+    /// The most that a client connection may hold, with the kernel's part.
+    pub fn client_bytes(&self) -> usize {
+        client_bytes(self.client_receive_buffer)
+    }
+
     /// The most that all uses together may hold.
     pub fn maximum(&self) -> usize {
         self.fixed
-            + self.client_connections
-                * (CLIENT_USER_BYTES + 2 * (self.client_receive_buffer + CLIENT_SEND_BUFFER_BYTES))
+            + self.client_connections * self.client_bytes()
             + self.bodies
             + self.held
             + self.ids * ID_BYTES
--- a/src/bin/foldtrack/memory_log.rs
+++ b/src/bin/foldtrack/memory_log.rs
@@ -1,6 +1,7 @@
 //! Tells the memory of the process against its limit in the log, before the process can be ended for it.
 
-use foldtrack_memory::plan::{CLIENT_BYTES, ID_BYTES, TARGET_BYTES, TARGET_CONNECTION_BYTES};
+use foldtrack_memory::plan::{ID_BYTES, TARGET_BYTES, TARGET_CONNECTION_BYTES};
+use foldtrack_memory::MemoryPlan;
 use procfs::process::Process;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -39,8 +40,8 @@
 
 impl MemoryUse {
     /// The memory that all this takes at the most, in bytes, beside the program and its files.
-    pub fn accounted(&self) -> usize {
-        self.client_connections * CLIENT_BYTES
+    fn accounted(&self, plan: &MemoryPlan) -> usize {
+        self.client_connections * plan.client_bytes()
             + self.target_connections * TARGET_CONNECTION_BYTES
             + self.body_bytes
             + self.held_bytes
@@ -52,7 +53,7 @@
 /// When the memory was logged last, and how much it was.
 #[derive(Debug)]
 pub(crate) struct MemoryLog {
-    limit: u64,
+    plan: MemoryPlan,
     logged: Option<(Instant, u64)>,
 }
 
@@ -63,15 +64,19 @@
 }
 
 impl MemoryLog {
-    /// The log of a process that may hold `limit` bytes.
-    pub fn new(limit: usize) -> MemoryLog {
-        MemoryLog { limit: limit as u64, logged: None }
+    /// The log of a process that divides its memory by this plan.
+    pub fn new(plan: MemoryPlan) -> MemoryLog {
+        MemoryLog { plan, logged: None }
+    }
+
+    fn limit(&self) -> u64 {
+        self.plan.limit as u64
     }
 
     /// Whether a line is due for this resident memory.
     fn is_due(&self, now: Instant, resident: u64) -> bool {
         self.logged.is_none_or(|(at, logged)| {
-            let step = self.limit / STEP_DIVISOR;
+            let step = self.limit() / STEP_DIVISOR;
             now.duration_since(at) >= INTERVAL || resident.abs_diff(logged) >= step
         })
     }
@@ -84,7 +89,7 @@
             return;
         }
         self.logged = Some((now, resident));
-        let (limit, accounted) = (self.limit, held.accounted());
+        let (limit, accounted) = (self.limit(), held.accounted(&self.plan));
         if resident >= limit / 100 * WARNING_PERCENT {
             tracing::warn!(resident, peak, limit, accounted, ?held, "memory");
         } else {
--- a/src/bin/foldtrack/memory_log_tests.rs
+++ b/src/bin/foldtrack/memory_log_tests.rs
@@ -1,12 +1,13 @@
 //! Tests of the memory log.
 
 use super::*;
+use foldtrack_memory::Demand;
 
 const LIMIT: usize = 32_000_000;
 
 #[test]
 fn a_line_is_due_first_then_after_a_large_change_or_a_minute() {
-    let mut log = MemoryLog::new(LIMIT);
+    let mut log = MemoryLog::new(MemoryPlan::new(LIMIT, Demand::default()));
     let (now, step) = (Instant::now(), LIMIT as u64 / STEP_DIVISOR);
     assert!(log.is_due(now, 8_000_000));
     log.logged = Some((now, 8_000_000));
--- a/src/bin/foldtrack/node/mod.rs
+++ b/src/bin/foldtrack/node/mod.rs
@@ -229,7 +229,7 @@
         targets: Targets::new(config.memory.targets),
         ids: MessageIds::default(),
         memory: config.memory,
-        memory_log: MemoryLog::new(config.memory.limit),
+        memory_log: MemoryLog::new(config.memory),
         bodies: bodies.clone(),
         reserved_journal_bytes: config.disk_bytes as usize / RESERVED_JOURNAL_DIVISOR,
         timers: BTreeSet::new(),
