--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -156,6 +156,11 @@
         list_json(list.0, true, &list.1)
     }
 
+    /// The entries of the list.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.list.lock().unwrap().1.clone()
+    }
+
     /// Waits until there is something newer than a version, or until the time is up.
     pub fn wait_for_change(&self, since: u64, wait: std::time::Duration) -> String {
         let list = self.list.lock().unwrap();
