--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod rules;
 mod site;
+mod stepped;
 mod taken_over;
 mod targets;
 mod world;
@@ -63,6 +64,7 @@
     let code = match case.as_str() {
         "crowded" => crowded::run(&start),
         "drained" => drained::run(&start),
+        "stepped" => stepped::run(&start),
         "taken-over" => taken_over::run(&start),
         "fuzz" => fuzz::run(&start),
         _ => 2,
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -31,6 +31,8 @@
     pub members: Vec<Member>,
     /// The forwarders run on one core, which they share (DEPLOY).
     pub on_one_core: bool,
+    /// How far the wall clock is off for processes that start from now on, in seconds.
+    pub clock_offset_s: i64,
     world: Arc<World>,
     root: PathBuf,
 }
@@ -85,9 +87,12 @@
                     "[partner.{partner}]\n[partner.{partner}.endpoint.{partner}-1]\naddress = \"{relay}\"\n"
                 );
             }
-            text += &format!("[peers]\nname = \"{name}\"\nlisten = \"{peer}\"\nsecret-file = {secret:?}\n");
-            for (m, other) in names.iter().enumerate().filter(|(m, _)| *m != n) {
-                text += &format!("[peers.member.{other}]\naddress = \"RELAY-{n}-{m}\"\n");
+            if names.len() > 1 {
+                text +=
+                    &format!("[peers]\nname = \"{name}\"\nlisten = \"{peer}\"\nsecret-file = {secret:?}\n");
+                for (m, other) in names.iter().enumerate().filter(|(m, _)| *m != n) {
+                    text += &format!("[peers.member.{other}]\naddress = \"RELAY-{n}-{m}\"\n");
+                }
             }
             std::fs::write(own.join("site.toml"), text).unwrap();
             let clients = relay_streams(listen, &client_link);
@@ -112,7 +117,13 @@
             }
             std::fs::write(path, text).unwrap();
         }
-        Site { members, on_one_core: false, world: world.clone(), root: root.to_path_buf() }
+        Site {
+            members,
+            on_one_core: false,
+            clock_offset_s: 0,
+            world: world.clone(),
+            root: root.to_path_buf(),
+        }
     }
 
     /// Starts a forwarder with the program of the deploy file.
@@ -122,11 +133,18 @@
         let program = run.split('"').next().unwrap().trim_start_matches("exec ");
         let one_core = if self.on_one_core { one_core() } else { String::new() };
         let run = format!("exec {one_core}{program}");
+        let offset = match self.clock_offset_s {
+            0 => String::new(),
+            seconds => format!(" --clock-offset={seconds}"),
+        };
         let member = &mut self.members[number];
         let log =
             std::fs::OpenOptions::new().create(true).append(true).open(member.folder.join("log")).unwrap();
         let child = Command::new("/bin/sh")
-            .args(["-c", &format!("{run} serve --site {}", member.folder.join("site.toml").display())])
+            .args([
+                "-c",
+                &format!("{run} serve --site {}{offset}", member.folder.join("site.toml").display()),
+            ])
             .current_dir(&self.root)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
