--- a/review/standin-2/crowded.rs
+++ b/review/standin-2/crowded.rs
@@ -1,4 +1,4 @@
-//! A site of three forwarders that carries much traffic for some time, and no fault (case 7).
+//! A site of three forwarders that carries much traffic for some time, and no fault.
 //!
 //! Payments come at 2,000 a second until 130,000 have been handed in, then at 110 a second. With `TROUBLE=0` all of the
 //! traffic comes at 110 a second. Each forwarder has to go on answering.
--- a/review/standin-2/drained.rs
+++ b/review/standin-2/drained.rs
@@ -1,4 +1,4 @@
-//! A drain that was told before a restart, while discovery is down (case 6).
+//! A drain that was told before a restart, while discovery is down.
 //!
 //! Two forwarders. One of the two endpoints of a partner is drained; both forwarders are told at once. Later discovery
 //! goes down for 8 s, and one forwarder is killed and started again with its folder. Its configuration has the list
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod crowded;
 mod drained;
 mod fuzz;
+mod handed_back;
 mod http;
 mod platform;
 mod relay;
@@ -64,6 +65,7 @@
     let code = match case.as_str() {
         "crowded" => crowded::run(&start),
         "drained" => drained::run(&start),
+        "handed-back" => handed_back::run(&start),
         "stepped" => stepped::run(&start),
         "taken-over" => taken_over::run(&start),
         "fuzz" => fuzz::run(&start),
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -1,7 +1,7 @@
 //! The agent of discovery on the forwarder's machine, and the forwarder as a process.
 
 use crate::http::{read_request, respond};
-use crate::world::{Entry, Seen, World};
+use crate::world::{own_host, Entry, Seen, World};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -146,7 +146,7 @@
     pub fn new(
         name: &str, world: &Arc<World>, root: &Path, folder: &Path, agent: &str, deployment: Deployment,
     ) -> Forwarder {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(format!("{}:0", own_host())).unwrap();
         let listen = listener.local_addr().unwrap().to_string();
         std::fs::create_dir_all(folder.join("state")).unwrap();
         let forwarder = Forwarder {
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{has_ended, read_request, respond};
 use crate::relay::{relay_datagrams, relay_streams, Faults};
-use crate::world::{Millis, Seen, Submitted, World};
+use crate::world::{own_host, Millis, Seen, Submitted, World};
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
@@ -53,11 +53,11 @@
 
 /// A free port for datagrams.
 fn free_datagram_port() -> String {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    UdpSocket::bind(format!("{}:0", own_host())).unwrap().local_addr().unwrap().to_string()
 }
 
 fn free_port() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    TcpListener::bind(format!("{}:0", own_host())).unwrap().local_addr().unwrap().to_string()
 }
 
 impl Site {
@@ -160,6 +160,11 @@
         (0..self.members.len()).for_each(|n| self.start(n));
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
+            let has_ended =
+                |m: &mut Member| m.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)));
+            if self.members.iter_mut().any(has_ended) {
+                return false;
+            }
             if self.members.iter().all(Member::is_ready) {
                 self.world.step("all forwarders are ready");
                 return true;
@@ -258,6 +263,17 @@
         answer
     }
 
+    /// What a forwarder tells of a message: the JSON of `GET /v1/messages/ID`.
+    pub fn state_of(&self, address: &str, id: &str) -> Option<String> {
+        let mut stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(Duration::from_millis(400))).ok()?;
+        let request = format!("GET /v1/messages/{id} HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        text.split_once("\r\n\r\n").map(|(_, body)| body.to_string())
+    }
+
     fn exchange(&mut self, address: &str, request: &str) -> Option<Answer> {
         if self.connection.as_ref().is_some_and(|(to, stream)| to != address || has_ended(stream)) {
             self.connection = None;
@@ -307,6 +323,8 @@
     pub pace: Box<dyn Fn(&str) -> Millis + Send + Sync>,
     /// Whether the answer to a message is never written.
     pub silent: Box<dyn Fn(&str) -> bool + Send + Sync>,
+    /// For how much longer the partner is shut, at a time of the case: it answers with 429 and that wait.
+    pub shut_for: Box<dyn Fn(Millis) -> Option<Millis> + Send + Sync>,
     /// Whether calls are recorded one by one.
     pub recorded: bool,
 }
@@ -319,6 +337,7 @@
             keys: Mutex::default(),
             pace: Box::new(|_| 0),
             silent: Box::new(|_| false),
+            shut_for: Box::new(|_| None),
             recorded: true,
         }
     }
@@ -346,6 +365,13 @@
             if self.recorded {
                 world.record(Seen::Call { id: id.clone(), target: name.to_string(), call });
             }
+            if let Some(wait) = (self.shut_for)(world.now()) {
+                world.record(Seen::Wrote { id, target: name.to_string(), call, status: 429, wait });
+                if respond(&mut stream, 429, &format!("X-Come-Back-Ms: {wait}\r\n"), "").is_err() {
+                    return;
+                }
+                continue;
+            }
             let time = (self.pace)(&id);
             if time > 0 {
                 sleep(Duration::from_millis(time));
--- a/review/standin-2/stepped.rs
+++ b/review/standin-2/stepped.rs
@@ -1,4 +1,4 @@
-//! The wall clock steps back while a forwarder of a site is restarted (case 9).
+//! The wall clock steps back while a forwarder of a site is restarted.
 //!
 //! A partner runs updates and answers none for 4 s. The forwarder is killed and started again, by when the partner has
 //! forgotten the keys, with a wall clock that is some seconds behind. It must not send an update that has run again.
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -223,3 +223,9 @@
         self.below(1 << 30) as f64 / (1u64 << 30) as f64
     }
 }
+
+/// A loopback address that other runs of the scripts do not use, for ports that are chosen before they are used.
+pub fn own_host() -> String {
+    let process = std::process::id();
+    format!("127.{}.{}.{}", 100 + process % 100, process / 100 % 250, 1 + process / 25_000 % 250)
+}
